--- /dev/null
+++ b/Source/papayabend/engine/Action.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "papayabend/base/Refusal.h"
+#include "papayabend/base/Time.h"
+#include "papayabend/query/Search.h"
+#include "papayabend/routing/Attempt.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace papayabend::engine {
+
+/** Call an upstream. */
+struct SendAttempt {
+    routing::Attempt attempt;
+};
+
+/** Cancel a call; its result is still reported. */
+struct CancelAttempt {
+    routing::AttemptId attempt { 0 };
+};
+
+/** Answer a caller's search. */
+struct ReplySearch {
+    routing::RequestId request { 0 };
+    query::SearchAnswer answer;
+};
+
+/** Refuse a caller's request. */
+struct ReplyRefusal {
+    routing::RequestId request { 0 };
+    base::Refusal refusal;
+};
+
+/** Call Engine::timerExpired() for the request at the given time. */
+struct SetTimer {
+    routing::RequestId request { 0 };
+    base::TimePoint at {};
+};
+
+/** Log a change of state. */
+struct StateChange {
+    std::string component;
+    std::string text;
+};
+
+/** What the shell has to do after an event. */
+using Action = std::variant<SendAttempt, CancelAttempt, ReplySearch, ReplyRefusal, SetTimer, StateChange>;
+using Actions = std::vector<Action>;
+
+}
--- /dev/null
+++ b/Source/papayabend/engine/Engine.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "papayabend/engine/Action.h"
+#include "papayabend/engine/ControlPath.h"
+#include "papayabend/engine/SearchPath.h"
+#include "papayabend/engine/SharedState.h"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace papayabend::engine {
+
+/** \class Engine
+ * \brief Decisions of one host: takes events with the present time and returns the actions to perform.
+ *
+ * Has no I/O and reads no clock. Every member may be called from several threads at once; events of one
+ * request are handled one at a time.
+ */
+class Engine {
+public:
+    /** \a seed makes all random choices repeatable. */
+    explicit Engine(uint64_t seed);
+
+    /** Returns a new request number. */
+    routing::RequestId nextRequest();
+
+    Actions submitSearch(query::SearchRequest, base::TimePoint now);
+    Actions attemptFinished(const routing::AttemptResult&, base::TimePoint now);
+    Actions timerExpired(routing::RequestId, base::TimePoint now);
+    Actions valuePublished(std::string_view key, std::string_view text, base::TimePoint now);
+
+    std::shared_ptr<const catalog::Catalog> catalog() const { return m_shared.catalog.load(); }
+
+private:
+    SharedState m_shared;
+    SearchPath m_searches;
+    ControlPath m_control;
+    std::atomic<routing::RequestId> m_lastRequest { 0 };
+};
+
+}
--- /dev/null
+++ b/Source/papayabend/execution/TicketRecord.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "papayabend/base/Verdict.h"
+
+#include <cstdint>
+#include <string>
+
+namespace papayabend::execution {
+
+/** \struct TicketId
+ * \brief Names one permission to run a non-idempotent request once.
+ */
+struct TicketId {
+    std::string host; /**< Host that issued it. */
+    uint64_t incarnation { 0 }; /**< Process that issued it; only this process may run the request. */
+    uint64_t sequence { 0 };
+
+    bool operator==(const TicketId&) const = default;
+};
+
+/** \enum TicketState
+ * \brief State of a ticket; it only advances.
+ */
+enum class TicketState : uint8_t {
+    Unused,
+    Sent, /**< Recorded before the first byte is handed to a transport. */
+    Finished,
+    Closed, /**< Never used and can no longer be used. */
+};
+
+/** \struct TicketRecord
+ * \brief What the issuing process knows of a ticket; handed to peers at a planned stop.
+ */
+struct TicketRecord {
+    TicketId id;
+    std::string account;
+    std::string service;
+    TicketState state { TicketState::Unused };
+    base::Verdict verdict { base::Verdict::NotRun };
+    std::string body; /**< Answer of the upstream, if the verdict is Ran. */
+};
+
+}
--- /dev/null
+++ b/Source/papayabend/transport/Shell.cpp
@@ -0,0 +1,52 @@
+#include "papayabend/transport/Shell.h"
+
+#include <spdlog/spdlog.h>
+
+namespace papayabend::transport {
+
+Shell::Shell(engine::Engine& engine)
+    : m_engine(engine)
+    , m_upstreams([this](const routing::AttemptResult& result) {
+        perform(m_engine.attemptFinished(result, base::BootClock::now()));
+    })
+{
+}
+
+void Shell::search(query::SearchRequest request, ReplyHandler handler)
+{
+    m_handlers.insert({ request.id, std::move(handler) });
+    perform(m_engine.submitSearch(std::move(request), base::BootClock::now()));
+}
+
+void Shell::perform(engine::Actions actions)
+{
+    for (auto& action : actions)
+        std::visit([this](auto& it) { perform(it); }, action);
+}
+
+void Shell::perform(engine::SendAttempt& action) { m_upstreams.send(action.attempt); }
+
+void Shell::perform(engine::CancelAttempt& action) { m_upstreams.cancel(action.attempt); }
+
+void Shell::perform(engine::ReplySearch& action) { reply(action.request, std::move(action.answer)); }
+
+void Shell::perform(engine::ReplyRefusal& action) { reply(action.request, std::move(action.refusal)); }
+
+void Shell::perform(engine::SetTimer& action)
+{
+    m_timers.at(action.at, [this, id = action.request] { perform(m_engine.timerExpired(id, base::BootClock::now())); });
+}
+
+void Shell::perform(engine::StateChange& action) { spdlog::info("{}: {}", action.component, action.text); }
+
+void Shell::reply(routing::RequestId id, Reply reply)
+{
+    decltype(m_handlers)::accessor accessor;
+    if (!m_handlers.find(accessor, id))
+        return;
+    auto handler = std::move(accessor->second);
+    m_handlers.erase(accessor);
+    handler(std::move(reply));
+}
+
+}
