engine: Add the table, peer messages and platform reads as events and actions

The request paths need the published table, the host view and a way to exchange control messages before the control decisions exist.

Actions SendPeerMessage and ReadPlatform are performed by the shell over gRPC (library retries off) and HTTP. The tick and peer events have no effect yet.

--- a/Source/papayabend/engine/Action.h
+++ b/Source/papayabend/engine/Action.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/Refusal.h"
 #include "papayabend/base/Time.h"
+#include "papayabend/engine/PeerMessage.h"
 #include "papayabend/query/Search.h"
 #include "papayabend/routing/Attempt.h"
 
@@ -39,6 +40,22 @@
     base::TimePoint at {};
 };
 
+/** Deliver a control message to another host; it may be lost. */
+struct SendPeerMessage {
+    std::string peerAddress;
+    PeerMessage message;
+};
+
+/** Read a value of the platform and pass the end of the read to Engine::platformReadEnded().
+ *
+ * The key "hosts" stands for the host list, which cannot be watched.
+ */
+struct ReadPlatform {
+    std::string key;
+    uint64_t afterVersion { 0 };
+    base::Duration wait {}; /**< Time for which the platform may hold the read until a newer version exists. */
+};
+
 /** Log a change of state. */
 struct StateChange {
     std::string component;
@@ -46,7 +63,8 @@
 };
 
 /** What the shell has to do after an event. */
-using Action = std::variant<SendAttempt, CancelAttempt, ReplySearch, ReplyRefusal, SetTimer, StateChange>;
+using Action = std::variant<SendAttempt, CancelAttempt, ReplySearch, ReplyRefusal, SetTimer, SendPeerMessage,
+    ReadPlatform, StateChange>;
 using Actions = std::vector<Action>;
 
 }
--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -4,11 +4,11 @@
 
 namespace papayabend::engine {
 
-Engine::Engine(uint64_t seed)
-    : m_searches(m_shared)
+Engine::Engine(uint64_t seed, membership::HostIdentity identity)
+    : m_shared(seed, std::move(identity))
+    , m_searches(m_shared)
     , m_control(m_shared)
 {
-    m_shared.seed = seed;
 }
 
 routing::RequestId Engine::nextRequest() { return ++m_lastRequest; }
@@ -31,4 +31,21 @@
     return m_control.valuePublished(key, text, now);
 }
 
+Actions Engine::hostListPublished(std::string_view text, base::TimePoint now)
+{
+    return m_control.hostListPublished(text, now);
+}
+
+Actions Engine::platformReadEnded(std::string_view key, ReadStatus status, base::TimePoint now)
+{
+    return m_control.platformReadEnded(key, status, now);
+}
+
+Actions Engine::peerMessage(const PeerMessage& message, base::TimePoint now)
+{
+    return m_control.peerMessage(message, now);
+}
+
+Actions Engine::tick(base::TimePoint now) { return m_control.tick(now); }
+
 }
--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -21,7 +21,7 @@
 class Engine {
 public:
     /** \a seed makes all random choices repeatable. */
-    explicit Engine(uint64_t seed);
+    explicit Engine(uint64_t seed, membership::HostIdentity identity = {});
 
     /** Returns a new request number. */
     routing::RequestId nextRequest();
@@ -29,9 +29,23 @@
     Actions submitSearch(query::SearchRequest, base::TimePoint now);
     Actions attemptFinished(const routing::AttemptResult&, base::TimePoint now);
     Actions timerExpired(routing::RequestId, base::TimePoint now);
-    Actions valuePublished(std::string_view key, std::string_view text, base::TimePoint now);
 
+    /** Takes a value read from the platform. \a key is "table" or "catalog". */
+    Actions valuePublished(std::string_view key, std::string_view text, base::TimePoint now);
+    /** Takes a host list read from the platform. */
+    Actions hostListPublished(std::string_view text, base::TimePoint now);
+    /** Reports that a read ended; called after the value, if there is one, has been passed on. */
+    Actions platformReadEnded(std::string_view key, ReadStatus, base::TimePoint now);
+    Actions peerMessage(const PeerMessage&, base::TimePoint now);
+    /** Called every 100 ms. */
+    Actions tick(base::TimePoint now);
+
+    /** Returns whether the host may serve and, if not, why. */
+    Readiness readiness(base::TimePoint now) const { return m_control.readiness(now); }
     std::shared_ptr<const catalog::Catalog> catalog() const { return m_shared.catalog.load(); }
+    std::shared_ptr<const table::Table> table() const { return m_shared.table.load(); }
+    std::shared_ptr<const membership::HostView> hostView() const { return m_shared.hostView.load(); }
+    const membership::HostIdentity& identity() const { return m_shared.identity; }
 
 private:
     SharedState m_shared;
--- a/Source/papayabend/engine/PeerMessage.h
+++ b/Source/papayabend/engine/PeerMessage.h
@@ -37,6 +37,8 @@
  */
 struct PeerMessage {
     membership::HostObservation sender;
+    uint64_t probe { 0 }; /**< Number that the receiver returns as answerTo; 0: no answer is asked for. */
+    uint64_t answerTo { 0 }; /**< Probe that this message answers; 0: none. */
     std::vector<dissemination::ValueDigest> digests;
     std::vector<ValueRequest> valueRequests;
     std::vector<ValueDelta> deltas;
--- a/Source/papayabend/engine/SharedState.h
+++ b/Source/papayabend/engine/SharedState.h
@@ -3,9 +3,12 @@
 #include "papayabend/base/Published.h"
 #include "papayabend/catalog/Catalog.h"
 #include "papayabend/catalog/UpstreamNames.h"
+#include "papayabend/membership/HostView.h"
 #include "papayabend/routing/UpstreamTable.h"
+#include "papayabend/table/Table.h"
 
 #include <cstdint>
+#include <utility>
 
 namespace papayabend::engine {
 
@@ -13,8 +16,18 @@
  * \brief State that the request paths read and the control path replaces.
  */
 struct SharedState {
+    SharedState() = default;
+    SharedState(uint64_t seed, membership::HostIdentity identity)
+        : seed(seed)
+        , identity(std::move(identity))
+    {
+    }
+
     uint64_t seed { 0 };
+    membership::HostIdentity identity; /**< Of this process. */
     base::Published<catalog::Catalog> catalog;
+    base::Published<table::Table> table;
+    base::Published<membership::HostView> hostView;
     catalog::UpstreamNames upstreamNames;
     routing::UpstreamTable upstreams;
 };
--- /dev/null
+++ b/Source/papayabend/transport/PeerClient.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "papayabend/engine/PeerMessage.h"
+
+#include <memory>
+#include <string>
+
+namespace papayabend::transport {
+
+/** \class PeerClient
+ * \brief Sends control messages to other hosts over gRPC, with the library's retries off. Thread-safe.
+ */
+class PeerClient {
+public:
+    PeerClient();
+    ~PeerClient();
+    PeerClient(const PeerClient&) = delete;
+    PeerClient& operator=(const PeerClient&) = delete;
+
+    /** Sends \a message without waiting. A message that cannot be delivered within a second is dropped. */
+    void send(const std::string& peerAddress, const engine::PeerMessage& message);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+}
--- a/Source/papayabend/transport/Shell.cpp
+++ b/Source/papayabend/transport/Shell.cpp
@@ -4,14 +4,51 @@
 
 namespace papayabend::transport {
 
-Shell::Shell(engine::Engine& engine)
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 100 };
+
+}
+
+Shell::Shell(engine::Engine& engine, std::string platformAddress)
     : m_engine(engine)
     , m_upstreams([this](const routing::AttemptResult& result) {
         perform(m_engine.attemptFinished(result, base::BootClock::now()));
     })
+    , m_platform(std::move(platformAddress),
+          [this](const std::string& key, engine::ReadStatus status, const std::string& text) {
+              readEnded(key, status, text);
+          })
+    , m_peerServer({ .exchange = [this](const engine::PeerMessage& message) {
+        perform(m_engine.peerMessage(message, base::BootClock::now()));
+    } })
 {
 }
 
+bool Shell::start(const std::string& peerAddress)
+{
+    if (!m_peerServer.start(peerAddress))
+        return false;
+    tick();
+    return true;
+}
+
+void Shell::tick()
+{
+    perform(m_engine.tick(base::BootClock::now()));
+    m_timers.at(base::BootClock::now() + tickInterval, [this] { tick(); });
+}
+
+void Shell::readEnded(const std::string& key, engine::ReadStatus status, const std::string& text)
+{
+    auto now = base::BootClock::now();
+    if (status == engine::ReadStatus::Value && key == "hosts")
+        perform(m_engine.hostListPublished(text, now));
+    else if (status == engine::ReadStatus::Value)
+        perform(m_engine.valuePublished(key, text, now));
+    perform(m_engine.platformReadEnded(key, status, now));
+}
+
 void Shell::search(query::SearchRequest request, ReplyHandler handler)
 {
     m_handlers.insert({ request.id, std::move(handler) });
@@ -37,6 +74,10 @@
     m_timers.at(action.at, [this, id = action.request] { perform(m_engine.timerExpired(id, base::BootClock::now())); });
 }
 
+void Shell::perform(engine::SendPeerMessage& action) { m_peers.send(action.peerAddress, action.message); }
+
+void Shell::perform(engine::ReadPlatform& action) { m_platform.read(action); }
+
 void Shell::perform(engine::StateChange& action) { spdlog::info("{}: {}", action.component, action.text); }
 
 void Shell::reply(routing::RequestId id, Reply reply)
--- a/Source/papayabend/transport/Shell.h
+++ b/Source/papayabend/transport/Shell.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "papayabend/engine/Engine.h"
+#include "papayabend/transport/PeerClient.h"
+#include "papayabend/transport/PeerServer.h"
+#include "papayabend/transport/PlatformReader.h"
 #include "papayabend/transport/Timers.h"
 #include "papayabend/transport/UpstreamClient.h"
 
@@ -21,7 +24,13 @@
 public:
     using ReplyHandler = std::function<void(Reply)>;
 
-    explicit Shell(engine::Engine&);
+    /** \a platformAddress is the IP address and port of the configuration service and the host list. */
+    explicit Shell(engine::Engine&, std::string platformAddress = {});
+
+    /** Listens for other hosts on \a peerAddress and starts the control path. Returns false if the address cannot
+     * be bound.
+     */
+    bool start(const std::string& peerAddress);
 
     /** Starts a search; \a handler is called once, on any thread. */
     void search(query::SearchRequest, ReplyHandler handler);
@@ -33,13 +42,20 @@
     void perform(engine::ReplySearch&);
     void perform(engine::ReplyRefusal&);
     void perform(engine::SetTimer&);
+    void perform(engine::SendPeerMessage&);
+    void perform(engine::ReadPlatform&);
     void perform(engine::StateChange&);
     void reply(routing::RequestId, Reply);
+    void readEnded(const std::string& key, engine::ReadStatus, const std::string& text);
+    void tick();
 
     engine::Engine& m_engine;
     tbb::concurrent_hash_map<routing::RequestId, ReplyHandler> m_handlers;
-    Timers m_timers;
     UpstreamClient m_upstreams;
+    PeerClient m_peers;
+    PlatformReader m_platform;
+    PeerServer m_peerServer;
+    Timers m_timers;
 };
 
 }
