replay: Add a replay of whole sessions in virtual time

Cause: the guarantees span hosts, upstreams and the configuration service, so unit tests of one module cannot show that they hold.

--- /dev/null
+++ b/Source/replay/Recorder.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "papayabend/base/Refusal.h"
+#include "papayabend/engine/Action.h"
+#include "papayabend/query/Search.h"
+#include "papayabend/routing/Attempt.h"
+
+#include <functional>
+#include <string_view>
+
+namespace papayabend::replay {
+
+struct World;
+struct Request;
+struct Host;
+struct Call;
+
+/** \struct Recorder
+ * \brief Callbacks for what happens in a replay. Empty members are skipped. World::now is the time.
+ */
+struct Recorder {
+    std::function<void(const World&, const Request&, const query::SearchAnswer&)> answered;
+    std::function<void(const World&, const Request&, const base::Refusal&)> refused;
+    /** The caller's connection ended without an answer because the host died. */
+    std::function<void(const World&, const Request&)> reset;
+    std::function<void(const World&, const Host&, const routing::Attempt&)> attemptSent;
+    std::function<void(const World&, const Host&, const routing::Attempt&, const routing::AttemptResult&)> attemptEnded;
+    std::function<void(const World&, const Host&, const engine::StateChange&)> stateChanged;
+    /** A check failed; the replay goes on. */
+    std::function<void(const World&, std::string_view)> violated;
+};
+
+}
--- /dev/null
+++ b/Source/replay/World.h
@@ -0,0 +1,236 @@
+#pragma once
+
+#include "papayabend/base/Random.h"
+#include "papayabend/base/Time.h"
+#include "papayabend/base/Verdict.h"
+#include "papayabend/catalog/Catalog.h"
+#include "papayabend/engine/Engine.h"
+#include "papayabend/routing/Attempt.h"
+#include "replay/Event.h"
+#include "replay/Recorder.h"
+#include "replay/Upstream.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace papayabend::replay {
+
+using base::Duration;
+using base::TimePoint;
+
+/** Virtual time of the first event; not zero, because zero is often used as "never". */
+constexpr TimePoint startTime { std::chrono::seconds(1000) };
+
+/** \struct SearchedShard
+ * \brief A shard that an upstream fake really searched for a request.
+ */
+struct SearchedShard {
+    uint64_t snapshot { 0 };
+    uint32_t shard { 0 };
+    uint64_t units { 0 };
+};
+
+enum class RequestOutcome : uint8_t { Open, Answered, Refused, Reset };
+
+/** \struct Request
+ * \brief A caller's request and what happened to it. The first group is filled by the case.
+ */
+struct Request {
+    std::string account;
+    std::string service;
+    std::string body; /**< Must differ between requests; a body that starts with "crash" crashes its upstream. */
+    uint32_t host { 0 };
+    uint32_t maxHits { 10 };
+    TimePoint sentAt {};
+    Duration timeout { std::chrono::seconds(1) };
+    std::optional<Duration> callerDelay; /**< One-way delay to the host; World::callerDelay if absent. */
+
+    uint32_t number { 0 }; /**< Index in World::requests. */
+    routing::RequestId id { 0 };
+    uint64_t hostIncarnation { 0 };
+    TimePoint receivedAt {};
+    TimePoint finishedAt {}; /**< At the caller. */
+    RequestOutcome outcome { RequestOutcome::Open };
+    std::optional<base::Verdict> verdict; /**< Of the refusal. */
+    uint32_t callsSent { 0 };
+    uint32_t callsStarted { 0 }; /**< Calls that an upstream fake began to run. */
+    std::vector<SearchedShard> searched; /**< Emptied when the request is finished. */
+};
+
+/** \struct Call
+ * \brief One attempt between a host and an upstream fake.
+ */
+struct Call {
+    routing::Attempt attempt;
+    routing::AttemptResult result;
+    uint64_t generation { 1 }; /**< Counts the uses of the slot; events of former uses are dropped. */
+    uint32_t host { 0 };
+    uint64_t hostIncarnation { 0 };
+    uint32_t upstream { 0 };
+    uint32_t request { 0 };
+    uint32_t shard { 0 };
+    TimePoint startedAt {};
+    bool isClientOpen { false }; /**< The host still waits for the result. */
+    bool isServerOpen { false }; /**< The call travels to the upstream, waits there or runs. */
+    bool isQueued { false };
+    bool isRunning { false };
+};
+
+/** \struct Host
+ * \brief A host that runs the real engine. A paused host receives its events when it resumes.
+ */
+struct Host {
+    std::string name;
+    uint32_t index { 0 };
+    uint32_t domain { 0 };
+    uint64_t incarnation { 0 };
+    std::unique_ptr<engine::Engine> engine; /**< Null while the host is down. */
+    bool isPaused { false };
+    std::vector<Event> held;
+    std::vector<TimePoint> connections; /**< By upstream: time at which it is usable; the maximum if closed. */
+    std::unordered_map<routing::RequestId, uint32_t> requests;
+    std::unordered_map<routing::AttemptId, uint32_t> calls;
+};
+
+/** \struct PlatformRead
+ * \brief A read or watch of the configuration service.
+ */
+struct PlatformRead {
+    uint32_t host { 0 };
+    uint64_t hostIncarnation { 0 };
+    std::string key;
+    uint64_t after { 0 };
+    bool isWaiting { false };
+    std::optional<std::string> answer;
+};
+
+/** \struct Platform
+ * \brief Configuration service fake.
+ */
+struct Platform {
+    struct Value {
+        uint64_t version { 0 };
+        std::string text;
+    };
+    std::map<std::string, Value> values;
+    std::map<std::string, Value> staleValues; /**< What is served while isStale is set. */
+    bool isDown { false };
+    bool isStale { false };
+    Duration delay { 2'000 }; /**< From a read to its answer. */
+    Duration retryDelay { 500'000 }; /**< Host's delay after a failed read. */
+    uint64_t reads { 0 };
+    std::vector<PlatformRead> slots;
+};
+
+/** \struct TrueShard
+ * \brief Shard map as published, which answers are checked against.
+ */
+struct TrueShard {
+    uint32_t index { 0 };
+    uint64_t units { 0 };
+    std::vector<uint32_t> replicas; /**< Indices in World::upstreams. */
+};
+
+/** \struct TrueSnapshot
+ * \brief Every shard of a published snapshot.
+ */
+struct TrueSnapshot {
+    std::unordered_map<std::string, TrueShard> shards;
+    uint64_t units { 0 };
+};
+
+/** \struct World
+ * \brief Whole state of a replay: hosts with real engines, fakes, and the queue of timed events.
+ */
+struct World {
+    uint64_t seed { 1 };
+    TimePoint now { startTime };
+    Duration localDelay { 200 }; /**< One way, within a failure domain. */
+    Duration remoteDelay { 5'000 }; /**< One way, between failure domains. */
+    Duration callerDelay { 1'000 };
+    Duration tickPeriod { 100'000 };
+    uint32_t hitsPerShard { 1 };
+    Duration crashRestartTime { 0 }; /**< Time after which a crashed upstream restarts; 0: it stays down. */
+
+    std::vector<std::string> domains;
+    std::vector<Host> hosts;
+    std::vector<Upstream> upstreams;
+    std::map<std::string, ServiceTime, std::less<>> serviceTimes; /**< By service; the default if absent. */
+    Platform platform;
+    std::set<std::pair<uint32_t, uint32_t>> cutDomains; /**< Pairs of failure domains without a connection. */
+    std::set<uint32_t> platformCutDomains; /**< Failure domains that do not reach the platform. */
+
+    std::deque<Request> requests; /**< A deque keeps references valid while it grows. */
+    /** Returns the next request, in order of sentAt, or nothing at the end. */
+    std::function<std::optional<Request>()> arrivals;
+    /** Creates the engine of a host; the default uses the seed only. */
+    std::function<std::unique_ptr<engine::Engine>(const World&, const Host&)> makeEngine;
+    Recorder recorder;
+
+    EventQueue events;
+    uint64_t lastOrder { 0 };
+    std::vector<std::function<void(World&)>> scripts;
+    std::vector<Call> calls;
+    std::vector<uint32_t> freeCalls;
+    std::optional<Request> nextArrival;
+    std::map<std::string, std::map<uint64_t, TrueSnapshot>, std::less<>> truth; /**< By service and snapshot. */
+    std::unordered_map<std::string, uint32_t> upstreamsByAddress;
+    std::unordered_map<std::string, uint32_t> executions; /**< Starts of each execution body. */
+
+    uint64_t eventsHandled { 0 };
+    uint64_t callsSent { 0 };
+    uint64_t unhandledActions { 0 };
+    uint64_t violations { 0 };
+    std::vector<std::string> violationTexts; /**< The first ones. */
+};
+
+/** Adds a host that is started by run() or startHost(). Returns its index. */
+uint32_t addHost(World&, std::string name, std::string_view domain);
+/** Returns the index of a failure domain and adds it if it is new. */
+uint32_t domainIndex(World&, std::string_view name);
+/** Starts a host as a new process. */
+void startHost(World&, uint32_t host);
+/** Ends a host's process without notice; its callers see a reset. */
+void killHost(World&, uint32_t host);
+void pauseHost(World&, uint32_t host);
+void resumeHost(World&, uint32_t host);
+
+/** Publishes a value on the configuration service. A catalogue also creates the upstream fakes it lists. */
+void publish(World&, std::string_view key, std::string_view text);
+/** Takes a service outage's beginning or end. */
+void setPlatformDown(World&, bool isDown);
+/** While stale, the service answers with the values it had at the call. */
+void setPlatformStale(World&, bool isStale);
+
+/** Returns the index of the upstream fake called \a name; throws std::out_of_range if there is none. */
+uint32_t upstreamIndex(const World&, std::string_view name);
+void killUpstream(World&, uint32_t upstream);
+void restartUpstream(World&, uint32_t upstream);
+/** Makes an upstream refuse a snapshot from now on. */
+void dropSnapshot(World&, uint32_t upstream, std::string_view service, uint64_t snapshot);
+
+void cutDomains(World&, std::string_view first, std::string_view second);
+void healDomains(World&);
+
+/** Sends a request at its sentAt. */
+void submit(World&, Request);
+/** Calls \a script at a virtual time. */
+void at(World&, TimePoint, std::function<void(World&)> script);
+/** Handles all events up to and including \a until. */
+void run(World&, TimePoint until);
+/** Checks at the end of a replay that no request was lost without an answer, a refusal or a reset. */
+void checkNoSilentLoss(World&);
+
+/** Returns the one-way delay between two failure domains. */
+Duration delayBetween(const World&, uint32_t first, uint32_t second);
+
+}
--- /dev/null
+++ b/Tests/replay/WorldTest.cpp
@@ -0,0 +1,94 @@
+#include "replay/World.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace std::chrono_literals;
+
+TEST_GROUP(World)
+{
+    static constexpr auto catalogText = R"({"version":1,
+        "upstreams":[
+            {"name":"a0","address":"10.0.0.1:1","failureDomain":"a","slots":2,"connectionLimit":25},
+            {"name":"b0","address":"10.0.0.2:1","failureDomain":"b","slots":2,"connectionLimit":25}],
+        "services":[{"name":"s","snapshots":[{"id":1,"shards":[
+            {"name":"s0","units":10,"replicas":["a0","b0"]},{"name":"s1","units":10,"replicas":["a0","b0"]}]}]}]})";
+
+    replay::World world;
+    std::vector<query::SearchAnswer> answers;
+
+    void setup() override
+    {
+        replay::addHost(world, "h0", "a");
+        replay::publish(world, "catalog", catalogText);
+        replay::startHost(world, 0);
+        replay::run(world, replay::startTime + 10ms);
+        world.recorder.answered = [this](const auto&, const auto&, const auto& answer) { answers.push_back(answer); };
+    }
+
+    void search(std::string body)
+    {
+        replay::Request request;
+        request.account = "acc";
+        request.service = "s";
+        request.body = std::move(body);
+        request.sentAt = world.now;
+        replay::submit(world, std::move(request));
+    }
+};
+
+// Guards against a replay that performs no calls and so proves nothing.
+TEST(World, SearchIsAnsweredInFull)
+{
+    search("q1");
+    replay::run(world, world.now + 3s);
+    LONGS_EQUAL(1, answers.size());
+    CHECK(query::isComplete(answers[0].coverage));
+    LONGS_EQUAL(0, world.violations);
+    LONGS_EQUAL(2, world.callsSent);
+}
+
+// Guards against figures that cannot be repeated.
+TEST(World, SameSeedGivesTheSameTimes)
+{
+    search("q1");
+    replay::run(world, world.now + 3s);
+    auto first = world.requests[0].finishedAt;
+    replay::World again;
+    replay::addHost(again, "h0", "a");
+    replay::publish(again, "catalog", catalogText);
+    replay::startHost(again, 0);
+    replay::run(again, replay::startTime + 10ms);
+    replay::submit(again, [&] {
+        replay::Request request;
+        request.service = "s";
+        request.body = "q1";
+        request.sentAt = again.now;
+        return request;
+    }());
+    replay::run(again, again.now + 3s);
+    CHECK(first == again.requests[0].finishedAt);
+}
+
+// Guards against a caller that waits for ever when its host dies, which the replay must report as a reset.
+TEST(World, KilledHostResetsItsCallers)
+{
+    search("q1");
+    replay::at(world, world.now + 3ms, [](replay::World& it) { replay::killHost(it, 0); });
+    replay::run(world, world.now + 3s);
+    CHECK(world.requests[0].outcome == replay::RequestOutcome::Reset);
+    replay::checkNoSilentLoss(world);
+    LONGS_EQUAL(0, world.violations);
+}
+
+// Guards against a lost upstream that still answers.
+TEST(World, LostUpstreamEndsItsCalls)
+{
+    replay::killUpstream(world, 0);
+    replay::killUpstream(world, 1);
+    search("q1");
+    replay::run(world, world.now + 3s);
+    LONGS_EQUAL(1, answers.size());
+    LONGS_EQUAL(0, answers[0].coverage.unitsSearched);
+    LONGS_EQUAL(0, world.violations);
+}
