replay: Add session cases with expected output and required counters

Cause: a change of behaviour over several hosts and upstreams was visible only in measurements. Change: Tests/Session/<Case>/input.json is replayed in virtual time and compared with expected.txt, one CTest case for each folder; required counters and the built-in checks fail a case even while expected files are rewritten.

--- a/Source/replay/Calls.cpp
+++ b/Source/replay/Calls.cpp
@@ -104,6 +104,7 @@
         checkStart(world, call);
         ++request.callsStarted;
         if (call.attempt.body.starts_with("crash")) {
+            ++upstream.crashes;
             killUpstream(world, call.upstream);
             if (world.crashRestartTime > Duration::zero())
                 at(world, world.now + world.crashRestartTime,
--- /dev/null
+++ b/Source/replay/SessionRun.cpp
@@ -0,0 +1,111 @@
+#include "replay/Session.h"
+
+#include <cstdio>
+
+namespace papayabend::replay {
+
+namespace {
+
+    struct Printer {
+        std::string output;
+        std::map<std::string, uint64_t> counters;
+
+        void line(const World& world, std::string_view place, const std::string& text)
+        {
+            auto time = (world.now - startTime).count();
+            char buf[32];
+            std::snprintf(buf, sizeof buf, "%9.3f ", static_cast<double>(time) / 1000);
+            output += buf;
+            output += place;
+            output += ' ';
+            output += text;
+            output += '\n';
+        }
+    };
+
+    std::string describeAnswer(const query::SearchAnswer& answer)
+    {
+        auto text = "snapshot " + std::to_string(answer.snapshot) + ", " + std::to_string(answer.coverage.unitsSearched)
+            + " of " + std::to_string(answer.coverage.unitsTotal) + " units, " + std::to_string(answer.hits.size())
+            + " hits";
+        for (const auto& it : answer.coverage.missing)
+            text += ", missing " + it.shard + " (" + it.reason + ")";
+        return text;
+    }
+
+    std::string describeTarget(const World& world, const routing::Attempt& attempt)
+    {
+        auto it = world.upstreamsByAddress.find(attempt.address);
+        auto target = attempt.shard.empty() ? attempt.service : attempt.shard + "@" + std::to_string(attempt.snapshot);
+        return attempt.body + " " + target + " at "
+            + (it == world.upstreamsByAddress.end() ? attempt.address : world.upstreams[it->second].name);
+    }
+
+    void record(World& world, Printer& printer)
+    {
+        auto& recorder = world.recorder;
+        auto hostName = [](const World& it, const Request& request) { return it.hosts[request.host].name; };
+        recorder.answered = [&, hostName](const World& it, const Request& request, const query::SearchAnswer& answer) {
+            bool isComplete = query::isComplete(answer.coverage);
+            ++printer.counters["answered"];
+            ++printer.counters[isComplete ? "complete" : "partial"];
+            printer.line(it, hostName(it, request),
+                (isComplete ? "answer " : "partial answer ") + request.body + ": " + describeAnswer(answer));
+        };
+        recorder.refused = [&, hostName](const World& it, const Request& request, const base::Refusal& refusal) {
+            ++printer.counters["refused"];
+            ++printer.counters["refused." + std::string(base::toString(refusal.code))];
+            ++printer.counters["refused." + std::string(base::toString(refusal.verdict))];
+            printer.line(it, hostName(it, request),
+                "refusal " + request.body + ": " + std::string(base::toString(refusal.code)) + ", "
+                    + std::string(base::toString(refusal.verdict)) + ", " + refusal.detail);
+        };
+        recorder.reset = [&, hostName](const World& it, const Request& request) {
+            ++printer.counters["reset"];
+            printer.line(it, hostName(it, request), "reset " + request.body);
+        };
+        recorder.attemptSent = [&](const World& it, const Host& host, const routing::Attempt& attempt) {
+            ++printer.counters["attempts"];
+            printer.line(it, host.name, "attempt " + describeTarget(it, attempt));
+        };
+        recorder.attemptEnded = [&](const World& it, const Host& host, const routing::Attempt& attempt,
+                                    const routing::AttemptResult& result) {
+            ++printer.counters["ended." + std::string(routing::toString(result.status))];
+            printer.line(it, host.name,
+                "ended " + describeTarget(it, attempt) + ": " + std::string(routing::toString(result.status)));
+        };
+        recorder.stateChanged = [&](const World& it, const Host& host, const engine::StateChange& change) {
+            ++printer.counters["stateChanges"];
+            printer.line(it, host.name, "state " + change.component + ": " + change.text);
+        };
+        recorder.violated
+            = [&](const World& it, std::string_view text) { printer.line(it, "-", "VIOLATION " + std::string(text)); };
+    }
+
+}
+
+SessionResult runSession(Session& session)
+{
+    auto& world = *session.world;
+    Printer printer;
+    record(world, printer);
+    run(world, session.until);
+    checkNoSilentLoss(world);
+    world.recorder = {};
+    for (const auto& upstream : world.upstreams) {
+        printer.counters["crashes"] += upstream.crashes;
+        printer.counters["shed"] += upstream.callsShed;
+        printer.counters["started." + upstream.name] = upstream.callsStarted;
+    }
+    printer.counters["platformReads"] = world.platform.reads;
+    SessionResult result { std::move(printer.output), std::move(world.violationTexts) };
+    for (const auto& [name, bounds] : session.required) {
+        auto value = printer.counters[name];
+        if (value < bounds.first || value > bounds.second)
+            result.failures.push_back(name + " is " + std::to_string(value) + ", required "
+                + std::to_string(bounds.first) + " to " + std::to_string(bounds.second));
+    }
+    return result;
+}
+
+}
--- a/Source/replay/Upstream.h
+++ b/Source/replay/Upstream.h
@@ -48,6 +48,7 @@
 
     uint64_t callsStarted { 0 };
     uint64_t callsShed { 0 };
+    uint64_t crashes { 0 }; /**< Losses caused by a request. */
     base::Duration busyTime {};
 };
 
