--- a/Source/replay/Perform.cpp
+++ b/Source/replay/Perform.cpp
@@ -33,6 +33,7 @@
             if (!request)
                 return;
             request->outcome = RequestOutcome::Answered;
+            request->coverage = query::coveredShare(action.answer.coverage);
             checkAnswer(world, *request, action.answer);
             if (world.recorder.answered)
                 world.recorder.answered(world, *request, action.answer);
--- /dev/null
+++ b/Source/replay/Scenario.cpp
@@ -0,0 +1,53 @@
+#include "replay/Scenario.h"
+
+#include <atomic>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+
+namespace papayabend::replay {
+
+const std::vector<Scenario>& scenarios()
+{
+    static const std::vector<Scenario> all {
+        { "tail", "latency, coverage and extra attempts with stragglers, both deployments", measureTail },
+        { "replica-loss", "complete answers with one replica of every shard lost", measureReplicaLoss },
+        { "goodput", "complete answers in time at 0.5, 1, 2 and 3 times capacity", measureGoodput },
+    };
+    return all;
+}
+
+void runParallel(const MeasureOptions& options, size_t count, const std::function<void(size_t)>& task)
+{
+    std::atomic<size_t> next { 0 };
+    std::vector<std::jthread> threads;
+    for (size_t n = 0; n < std::min<size_t>(options.threads, count); ++n) {
+        threads.emplace_back([&] {
+            for (size_t i = next++; i < count; i = next++)
+                task(i);
+        });
+    }
+}
+
+void addViolations(Figures& figures, const World& world)
+{
+    static std::mutex mutex;
+    std::scoped_lock lock(mutex);
+    figures.violations += world.violations;
+    figures.violationTexts.insert(
+        figures.violationTexts.end(), world.violationTexts.begin(), world.violationTexts.end());
+}
+
+std::string formatNumber(double value, int digits)
+{
+    char buf[48];
+    std::snprintf(buf, sizeof buf, "%.*f", digits, value);
+    return buf;
+}
+
+std::string formatShare(uint64_t part, uint64_t whole)
+{
+    return formatNumber(whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole), 5);
+}
+
+}
--- a/Source/replay/World.h
+++ b/Source/replay/World.h
@@ -61,6 +61,7 @@
     TimePoint finishedAt {}; /**< At the caller. */
     RequestOutcome outcome { RequestOutcome::Open };
     std::optional<base::Verdict> verdict; /**< Of the refusal. */
+    double coverage { 0 }; /**< Share of the answer; 1 for a complete one. */
     uint32_t callsSent { 0 };
     uint32_t callsStarted { 0 }; /**< Calls that an upstream fake began to run. */
     std::vector<SearchedShard> searched; /**< Emptied when the request is finished. */
