--- a/Source/replay/MeasureMain.cpp
+++ b/Source/replay/MeasureMain.cpp
@@ -27,6 +27,7 @@
     };
     printRow(figures.columns);
     std::vector<std::string> rule;
+    rule.reserve(widths.size());
     for (auto width : widths)
         rule.emplace_back(width, '-');
     printRow(rule);
