routing: Decide replicas, hedges, retries and quarantine for searches

The search path sent one attempt to the replica with the fewest calls in flight and retried without a bound.

Not measured yet.

--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -11,6 +11,26 @@
     m_shared.seed = seed;
 }
 
+void Engine::configureRouting(routing::RoutingSettings settings)
+{
+    m_shared.routing.quarantine.configure(settings.crashes);
+    m_shared.upstreams.configure(std::move(settings));
+}
+
+void Engine::quarantineNotice(const routing::QuarantineNotice& notice, base::TimePoint now)
+{
+    m_shared.routing.quarantine.received(notice, now);
+}
+
+std::vector<routing::QuarantineNotice> Engine::takeQuarantineNotices()
+{
+    std::vector<routing::QuarantineNotice> notices;
+    routing::QuarantineNotice notice;
+    while (m_shared.quarantineNotices.try_pop(notice))
+        notices.push_back(notice);
+    return notices;
+}
+
 routing::RequestId Engine::nextRequest() { return ++m_lastRequest; }
 
 Actions Engine::submitSearch(query::SearchRequest request, base::TimePoint now)
@@ -20,7 +40,7 @@
 
 Actions Engine::attemptFinished(const routing::AttemptResult& result, base::TimePoint now)
 {
-    routing::attemptFinished(m_shared.upstreams, result);
+    routing::attemptFinished(m_shared.upstreams, result, now);
     return m_searches.attemptFinished(result, now);
 }
 
--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace papayabend::engine {
 
@@ -23,6 +24,18 @@
     /** \a seed makes all random choices repeatable. */
     explicit Engine(uint64_t seed);
 
+    /** Replaces the routing settings; called before the first request. */
+    void configureRouting(routing::RoutingSettings);
+
+    /** Sets the number of hosts that share the connections of an upstream. */
+    void setServingHosts(uint32_t count) { m_shared.upstreams.setServingHosts(count); }
+
+    /** Takes a notice of another host. */
+    void quarantineNotice(const routing::QuarantineNotice&, base::TimePoint now);
+
+    /** Returns the notices to send to all other hosts of the serving set, and forgets them. */
+    std::vector<routing::QuarantineNotice> takeQuarantineNotices();
+
     /** Returns a new request number. */
     routing::RequestId nextRequest();
 
--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -1,5 +1,7 @@
 #include "papayabend/engine/SearchPath.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace papayabend::engine {
@@ -8,17 +10,20 @@
 
     // Attempt numbers are the request number followed by a counter, so that they are unique in the process.
     constexpr unsigned attemptCounterBits = 16;
+    // Probes belong to no request; their numbers start above those of all requests.
+    constexpr routing::AttemptId firstProbe = routing::AttemptId { 1 } << 63;
 
 }
 
 SearchPath::SearchPath(SharedState& shared)
     : m_shared(shared)
+    , m_lastProbe(firstProbe)
 {
 }
 
 query::SearchContext SearchPath::contextOf(RunningSearch& running)
 {
-    return { m_shared.upstreams, running.random, running.lastAttempt };
+    return { m_shared.upstreams, m_shared.routing, m_shared.catalog.load(), running.random, running.lastAttempt };
 }
 
 Actions SearchPath::perform(Searches::accessor& accessor, query::SearchStep&& step)
@@ -27,6 +32,9 @@
     auto id = accessor->first;
     for (auto attempt : step.cancel)
         actions.emplace_back(CancelAttempt { attempt });
+    for (const auto& notice : step.notices)
+        m_shared.quarantineNotices.push(notice);
+    waitFor(step.waitFor, id);
     for (auto& attempt : step.send)
         actions.emplace_back(SendAttempt { std::move(attempt) });
     if (step.timer)
@@ -40,6 +48,54 @@
     return actions;
 }
 
+void SearchPath::waitFor(const std::vector<catalog::UpstreamId>& upstreams, routing::RequestId id)
+{
+    if (upstreams.empty())
+        return;
+    std::scoped_lock lock(m_waitingMutex);
+    for (auto upstream : upstreams) {
+        auto n = catalog::toIndex(upstream);
+        if (n >= m_waiting.size())
+            m_waiting.resize(n + 1);
+        m_waiting[n].push_back(id);
+    }
+}
+
+std::optional<routing::RequestId> SearchPath::nextWaiting(catalog::UpstreamId upstream)
+{
+    std::scoped_lock lock(m_waitingMutex);
+    auto n = catalog::toIndex(upstream);
+    if (n >= m_waiting.size() || m_waiting[n].empty())
+        return std::nullopt;
+    auto id = m_waiting[n].front();
+    m_waiting[n].pop_front();
+    return id;
+}
+
+void SearchPath::wake(catalog::UpstreamId upstream, Actions& actions, base::TimePoint now)
+{
+    auto catalog = m_shared.catalog.load();
+    const auto* known = catalog::findUpstream(*catalog, upstream);
+    while (known && routing::hasFreeSlot(m_shared.upstreams, *known)) {
+        auto id = nextWaiting(upstream);
+        if (!id)
+            return;
+        Searches::accessor accessor;
+        if (!m_searches.find(accessor, *id))
+            continue;
+        auto running = accessor->second;
+        auto context = contextOf(*running);
+        auto more = perform(accessor, query::slotFreed(running->search, context, now));
+        std::ranges::move(more, std::back_inserter(actions));
+    }
+}
+
+void SearchPath::addProbes(const catalog::Catalog& catalog, Actions& actions, base::TimePoint now)
+{
+    for (auto& probe : routing::dueProbes(m_shared.upstreams, catalog, m_lastProbe, now))
+        actions.emplace_back(SendAttempt { std::move(probe) });
+}
+
 Actions SearchPath::start(query::SearchRequest request, base::TimePoint now)
 {
     auto id = request.id;
@@ -48,20 +104,26 @@
     running->search.catalog = m_shared.catalog.load();
     running->random.seed(m_shared.seed ^ id);
     running->lastAttempt = id << attemptCounterBits;
+    m_shared.upstreams.catalogSeen(*running->search.catalog, now);
     Searches::accessor accessor;
     m_searches.insert(accessor, { id, running });
     auto context = contextOf(*running);
-    return perform(accessor, query::startSearch(running->search, context, now));
+    auto actions = perform(accessor, query::startSearch(running->search, context, now));
+    addProbes(*running->search.catalog, actions, now);
+    return actions;
 }
 
 Actions SearchPath::attemptFinished(const routing::AttemptResult& result, base::TimePoint now)
 {
-    Searches::accessor accessor;
-    if (!m_searches.find(accessor, result.request))
-        return {};
-    auto running = accessor->second;
-    auto context = contextOf(*running);
-    return perform(accessor, query::attemptFinished(running->search, context, result, now));
+    Actions actions;
+    if (Searches::accessor accessor; m_searches.find(accessor, result.request)) {
+        auto running = accessor->second;
+        auto context = contextOf(*running);
+        actions = perform(accessor, query::attemptFinished(running->search, context, result, now));
+    }
+    // No search is locked here, because a woken search is locked in turn.
+    wake(result.upstream, actions, now);
+    return actions;
 }
 
 Actions SearchPath::timerExpired(routing::RequestId id, base::TimePoint now)
--- a/Source/papayabend/engine/SearchPath.h
+++ b/Source/papayabend/engine/SearchPath.h
@@ -5,8 +5,13 @@
 #include "papayabend/engine/SharedState.h"
 #include "papayabend/query/Search.h"
 
+#include <atomic>
+#include <deque>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <tbb/concurrent_hash_map.h>
+#include <vector>
 
 namespace papayabend::engine {
 
@@ -31,9 +36,18 @@
 
     query::SearchContext contextOf(RunningSearch&);
     Actions perform(Searches::accessor&, query::SearchStep&&);
+    void addProbes(const catalog::Catalog&, Actions&, base::TimePoint now);
+
+    /** Lets waiting searches use the free slots of an upstream, first come first served. */
+    void wake(catalog::UpstreamId, Actions&, base::TimePoint now);
+    void waitFor(const std::vector<catalog::UpstreamId>&, routing::RequestId);
+    std::optional<routing::RequestId> nextWaiting(catalog::UpstreamId);
 
     SharedState& m_shared;
     Searches m_searches;
+    std::atomic<routing::AttemptId> m_lastProbe;
+    std::mutex m_waitingMutex;
+    std::vector<std::deque<routing::RequestId>> m_waiting; /**< By number of the upstream. */
 };
 
 }
--- a/Source/papayabend/query/Search.cpp
+++ b/Source/papayabend/query/Search.cpp
@@ -1,156 +1,365 @@
 #include "papayabend/query/Search.h"
 
+#include "papayabend/base/Hash.h"
+#include "papayabend/query/Merge.h"
+#include "papayabend/query/Scatter.h"
+#include "papayabend/query/SnapshotChoice.h"
+#include "papayabend/routing/ReplicaChoice.h"
+
 #include <algorithm>
-#include <functional>
+#include <array>
 #include <ranges>
+#include <string_view>
 
 namespace papayabend::query {
 
 namespace {
 
-    using routing::Attempt;
     using routing::AttemptResult;
     using routing::AttemptStatus;
 
-    bool isUsable(const Search& search, SearchContext& context, const catalog::Shard& shard)
-    {
-        return routing::chooseReplica(context.upstreams, *search.catalog, shard.replicas, {}, context.random)
-            .has_value();
-    }
+    // A restart has to send a whole search again, so it needs more time than one attempt.
+    constexpr int restartTimeFactor = 3;
+    constexpr base::Duration waitingCheckPeriod = std::chrono::milliseconds(20);
 
-    const catalog::Snapshot* chooseSnapshot(
-        const Search& search, SearchContext& context, const catalog::Service& service)
+    bool isSettled(const ShardProgress& progress)
     {
-        auto it = std::ranges::find_if(service.snapshots, [&](const catalog::Snapshot& snapshot) {
-            return std::ranges::all_of(
-                snapshot.shards, [&](const catalog::Shard& shard) { return isUsable(search, context, shard); });
-        });
-        if (it != service.snapshots.end())
-            return &*it;
-        return service.snapshots.empty() ? nullptr : &service.snapshots.front();
+        return progress.isAnswered || progress.isGivenUp
+            || (progress.open.empty() && !progress.isWaiting && !progress.retryAt);
     }
 
-    bool sendAttempt(Search& search, SearchContext& context, size_t n, SearchStep& step)
+    bool isDone(const Search& search)
     {
-        const auto& shard = search.snapshot->shards[n];
-        auto& progress = search.shards[n];
-        auto replica = routing::chooseReplica(
-            context.upstreams, *search.catalog, shard.replicas, progress.tried, context.random);
-        if (!replica)
-            return false;
-        Attempt attempt;
-        attempt.id = ++context.lastAttempt;
-        attempt.request = search.request.id;
-        attempt.upstream = *replica;
-        attempt.address = catalog::findUpstream(*search.catalog, *replica)->address;
-        attempt.service = search.request.service;
-        attempt.shard = shard.name;
-        attempt.snapshot = search.snapshot->id;
-        attempt.body = search.request.query;
-        attempt.maxHits = search.request.maxHits;
-        attempt.deadline = search.request.deadline;
-        routing::attemptStarted(context.upstreams, attempt);
-        progress.open.push_back(attempt);
-        progress.tried.push_back(*replica);
-        ++search.answer.attempts;
-        step.send.push_back(std::move(attempt));
-        return true;
+        if (search.phase == SearchPhase::Canary)
+            return std::ranges::all_of(search.shards, &ShardProgress::isGivenUp);
+        return std::ranges::all_of(search.shards, isSettled);
     }
 
-    void finish(Search& search, SearchStep& step)
+    void finish(Search& search, SearchContext& context, SearchStep& step, base::TimePoint now)
     {
         auto& answer = search.answer;
         for (size_t n = 0; n < search.shards.size(); ++n) {
             const auto& shard = search.snapshot->shards[n];
             auto& progress = search.shards[n];
+            cancelOpen(search, context, progress, step, now);
             answer.coverage.unitsTotal += shard.units;
-            std::ranges::transform(progress.open, std::back_inserter(step.cancel), &Attempt::id);
-            if (!progress.isAnswered)
-                answer.coverage.missing.push_back({ shard.name, shard.units, progress.lastFailure });
+            answer.coverage.unitsSearched += progress.unitsSearched;
+            if (progress.unitsSearched < shard.units || !progress.isAnswered) {
+                answer.coverage.missing.push_back({ shard.name, shard.units - progress.unitsSearched,
+                    progress.isAnswered                ? "partly_searched"
+                        : progress.lastFailure.empty() ? "no_answer"
+                                                       : progress.lastFailure });
+            }
         }
-        std::ranges::stable_sort(answer.hits, std::greater {}, &routing::Hit::score);
-        if (answer.hits.size() > search.request.maxHits)
-            answer.hits.resize(search.request.maxHits);
-        search.isFinished = true;
-        step.answer = answer;
+        keepBestHits(answer.hits, search.request.maxHits);
+        search.phase = SearchPhase::Finished;
+        step.answer = std::move(answer);
+    }
+
+    void refuse(Search& search, SearchContext& context, base::RefusalCode code, std::string detail, SearchStep& step,
+        base::TimePoint now)
+    {
+        for (auto& progress : search.shards)
+            cancelOpen(search, context, progress, step, now);
+        search.phase = SearchPhase::Finished;
+        step.refusal = base::Refusal { code, search.verdict, std::move(detail), {} };
     }
 
-    bool isSettled(const ShardProgress& progress) { return progress.isAnswered || progress.open.empty(); }
+    void pin(Search& search, const catalog::Snapshot& snapshot)
+    {
+        search.snapshot = &snapshot;
+        search.shards.assign(snapshot.shards.size(), {});
+        search.answer.snapshot = snapshot.id;
+        search.answer.hits.clear();
+        search.canaryTried.clear();
+        search.canaryAt.reset();
+    }
 
-    bool takeAnswer(Search& search, size_t n, const AttemptResult& result)
+    bool lostSnapshot(const Search& search)
     {
-        const auto& shard = search.snapshot->shards[n];
-        if (result.status != AttemptStatus::Ran || result.snapshot != search.snapshot->id || result.shard != shard.name)
+        static constexpr std::array<std::string_view, 6> reasons { "no_replica", "snapshot_unavailable",
+            "unknown_shard", "draining", "not_sent", "other_snapshot" };
+        return std::ranges::any_of(search.shards, [](const ShardProgress& progress) {
+            return progress.isGivenUp && std::ranges::find(reasons, progress.lastFailure) != reasons.end();
+        });
+    }
+
+    /** Sends the next canary attempt; a suspect waits its turn, also if only a notice told of the crash. */
+    void scheduleCanary(Search& search, SearchContext& context, SearchStep& step, base::TimePoint now)
+    {
+        auto turn = context.routing.quarantine.turn(search.fingerprint, now);
+        if (turn > now)
+            search.canaryAt = turn;
+        else
+            sendCanary(search, context, step, now);
+    }
+
+    void begin(Search& search, SearchContext& context, SearchStep& step, base::TimePoint now)
+    {
+        const auto& quarantine = context.routing.quarantine;
+        if (!search.shards.empty() && quarantine.needsCanary(search.fingerprint, search.snapshot->id, now)) {
+            search.phase = SearchPhase::Canary;
+            scheduleCanary(search, context, step, now);
+            return;
+        }
+        fanOut(search, context, step, now);
+    }
+
+    bool restart(Search& search, SearchContext& context, SearchStep& step, base::TimePoint now)
+    {
+        const auto* service = catalog::findService(*context.newestCatalog, search.request.service);
+        if (search.wasRestarted || !service || service->kind != catalog::ServiceKind::Sharded)
             return false;
-        auto& answer = search.answer;
-        search.shards[n].isAnswered = true;
-        answer.coverage.unitsSearched += std::min(result.unitsSearched, shard.units);
-        answer.hits.insert(answer.hits.end(), result.hits.begin(), result.hits.end());
+        auto median = context.routing.latencies.quantile(search.request.service, 0.5, base::Duration::zero());
+        if (now + restartTimeFactor * median >= search.request.deadline)
+            return false;
+        const auto* other
+            = chooseOtherSnapshot(context.upstreams, *context.newestCatalog, *service, search.snapshot->id, now);
+        if (!other || !takeRetry(search, context, {}, now))
+            return false;
+        search.wasRestarted = true;
+        for (auto& progress : search.shards)
+            cancelOpen(search, context, progress, step, now);
+        search.catalog = context.newestCatalog;
+        pin(search, *other);
+        begin(search, context, step, now);
         return true;
     }
 
+    base::TimePoint nextEvent(const Search& search, const SearchContext& context, base::TimePoint now)
+    {
+        auto next = search.request.deadline;
+        if (search.canaryAt)
+            next = std::min(next, *search.canaryAt);
+        auto isHedging = context.upstreams.settings().hedging.enabled;
+        for (const auto& progress : search.shards) {
+            if (progress.isAnswered || progress.isGivenUp)
+                continue;
+            if (progress.retryAt)
+                next = std::min(next, *progress.retryAt);
+            if (progress.isWaiting)
+                next = std::min(next, now + waitingCheckPeriod);
+            if (isHedging && progress.mayHedge && progress.open.size() == 1)
+                next = std::min(next, progress.hedgeAt);
+        }
+        return std::max(next, now);
+    }
+
+    /** Restarts or ends the search if due, and asks for the next timer. */
+    void settle(Search& search, SearchContext& context, SearchStep& step, base::TimePoint now)
+    {
+        if (search.phase == SearchPhase::Finished)
+            return;
+        if (lostSnapshot(search))
+            restart(search, context, step, now);
+        if (isDone(search)) {
+            finish(search, context, step, now);
+            return;
+        }
+        auto next = nextEvent(search, context, now);
+        if (search.timerAt <= now || next < search.timerAt)
+            step.timer = search.timerAt = next;
+    }
+
+    void takeAnswer(Search& search, SearchContext& context, size_t n, const AttemptResult& result, SearchStep& step,
+        base::TimePoint now)
+    {
+        const auto& shard = search.snapshot->shards[n];
+        auto& progress = search.shards[n];
+        progress.isAnswered = true;
+        progress.isWaiting = false;
+        progress.retryAt.reset();
+        progress.unitsSearched = std::min(result.unitsSearched, shard.units);
+        search.answer.hits.insert(search.answer.hits.end(), result.hits.begin(), result.hits.end());
+        search.isProven = true;
+        context.routing.quarantine.succeeded(search.fingerprint, search.snapshot->id, base::hash(shard.name), now);
+        cancelOpen(search, context, progress, step, now);
+        if (search.phase == SearchPhase::Canary)
+            fanOut(search, context, step, now);
+    }
+
+    void takeCrash(Search& search, SearchContext& context, size_t n, const AttemptResult& result, SearchStep& step,
+        base::TimePoint now)
+    {
+        auto& progress = search.shards[n];
+        auto& quarantine = context.routing.quarantine;
+        const auto* upstream = catalog::findUpstream(*search.catalog, result.upstream);
+        routing::Crash crash { base::hash(upstream ? upstream->name : std::string()),
+            base::hash(search.snapshot->shards[n].name) };
+        step.notices.push_back(quarantine.crashed(search.fingerprint, crash, search.isProven, now));
+        progress.mayHedge = false;
+        if (quarantine.isQuarantined(search.fingerprint, now)) {
+            if (!search.isProven)
+                return refuse(search, context, base::RefusalCode::Quarantined,
+                    "upstreams were lost while they ran the request", step, now);
+            progress.lastFailure = "quarantined";
+            progress.isGivenUp = progress.open.empty();
+            return;
+        }
+        if (!progress.open.empty())
+            return;
+        if (search.phase == SearchPhase::Canary) {
+            search.canaryAt = quarantine.turn(search.fingerprint, now);
+            return;
+        }
+        if (!takeRetry(search, context, progress, now)) {
+            progress.isGivenUp = true;
+            return;
+        }
+        if (search.isProven)
+            sendNext(search, context, n, step, now);
+        else
+            progress.retryAt = quarantine.turn(search.fingerprint, now);
+    }
+
+    void retryElsewhere(Search& search, SearchContext& context, size_t n, const AttemptResult& result, SearchStep& step,
+        base::TimePoint now)
+    {
+        auto& progress = search.shards[n];
+        if (!progress.open.empty())
+            return;
+        // Refusals that name the upstream as unusable cannot repeat; all others are bounded by the budget.
+        auto isFree = result.status == AttemptStatus::NotSent || result.status == AttemptStatus::Draining
+            || result.status == AttemptStatus::SnapshotUnavailable || result.status == AttemptStatus::UnknownShard;
+        if (!isFree && !takeRetry(search, context, progress, now)) {
+            if (search.phase == SearchPhase::Canary)
+                std::ranges::for_each(search.shards, [](ShardProgress& it) { it.isGivenUp = true; });
+            progress.isGivenUp = true;
+            return;
+        }
+        if (search.phase == SearchPhase::Canary)
+            return scheduleCanary(search, context, step, now);
+        sendNext(search, context, n, step, now);
+        if (!progress.isGivenUp || result.status != AttemptStatus::Shed)
+            return;
+        // All replicas shed the request: try them again when the overload may be over.
+        progress.isGivenUp = false;
+        progress.tried.clear();
+        progress.retryAt = now + context.upstreams.settings().recovery.overloadHold;
+    }
+
+    bool isAnswerTo(const Search& search, size_t n, const AttemptResult& result)
+    {
+        return result.status == AttemptStatus::Ran && result.snapshot == search.snapshot->id
+            && result.shard == search.snapshot->shards[n].name;
+    }
+
+    std::string failureOf(const Search& search, const AttemptResult& result)
+    {
+        if (result.status != AttemptStatus::Ran)
+            return std::string(toString(result.status));
+        return result.snapshot != search.snapshot->id ? "other_snapshot" : "other_shard";
+    }
+
 }
 
-SearchStep startSearch(Search& search, SearchContext& context, base::TimePoint)
+SearchStep startSearch(Search& search, SearchContext& context, base::TimePoint now)
 {
     SearchStep step;
-    const auto* service = catalog::findService(*search.catalog, search.request.service);
+    const auto& request = search.request;
+    const auto* service = catalog::findService(*search.catalog, request.service);
     if (!service || service->kind != catalog::ServiceKind::Sharded) {
-        step.refusal = base::Refusal { base::RefusalCode::UnknownService, base::Verdict::NotRun,
-            "no sharded service " + search.request.service, {} };
+        refuse(search, context, base::RefusalCode::UnknownService, "no sharded service " + request.service, step, now);
         return step;
     }
-    search.snapshot = chooseSnapshot(search, context, *service);
-    if (!search.snapshot) {
-        step.refusal = base::Refusal { base::RefusalCode::NoUpstream, base::Verdict::NotRun,
-            "no snapshot of " + search.request.service, {} };
+    search.fingerprint = routing::fingerprintOf(request.account, request.service, request.query);
+    if (context.routing.quarantine.isQuarantined(search.fingerprint, now)) {
+        refuse(search, context, base::RefusalCode::Quarantined, "the request is quarantined", step, now);
         return step;
     }
-    search.answer.snapshot = search.snapshot->id;
-    search.shards.resize(search.snapshot->shards.size());
-    for (size_t n = 0; n < search.shards.size(); ++n) {
-        if (!sendAttempt(search, context, n, step))
-            search.shards[n].lastFailure = "no_replica";
+    const auto* snapshot = chooseSnapshot(context.upstreams, *search.catalog, *service, now);
+    if (!snapshot) {
+        refuse(search, context, base::RefusalCode::NoUpstream, "no snapshot of " + request.service, step, now);
+        return step;
     }
-    step.timer = search.request.deadline;
-    if (std::ranges::all_of(search.shards, isSettled))
-        finish(search, step);
+    pin(search, *snapshot);
+    begin(search, context, step, now);
+    settle(search, context, step, now);
     return step;
 }
 
 SearchStep attemptFinished(Search& search, SearchContext& context, const AttemptResult& result, base::TimePoint now)
 {
     SearchStep step;
-    if (search.isFinished)
+    if (search.phase == SearchPhase::Finished || result.request != search.request.id)
         return step;
-    auto isOpen = [&](const ShardProgress& progress) {
-        return std::ranges::find(progress.open, result.attempt, &Attempt::id) != progress.open.end();
-    };
-    auto it = std::ranges::find_if(search.shards, isOpen);
+    auto matches = [&](const OpenAttempt& it) { return it.id == result.attempt && it.upstream == result.upstream; };
+    auto it = std::ranges::find_if(
+        search.shards, [&](const ShardProgress& progress) { return std::ranges::any_of(progress.open, matches); });
     if (it == search.shards.end())
         return step;
-    std::erase_if(it->open, [&](const Attempt& attempt) { return attempt.id == result.attempt; });
+    auto attempt = std::ranges::find_if(it->open, matches);
+    if (result.status == AttemptStatus::Ran)
+        context.routing.latencies.record(search.request.service, now - attempt->sent);
+    it->open.erase(attempt);
     auto n = static_cast<size_t>(it - search.shards.begin());
-    if (!it->isAnswered && !takeAnswer(search, n, result)) {
-        it->lastFailure = toString(result.status);
-        if (now < search.request.deadline)
-            sendAttempt(search, context, n, step);
+    search.verdict = base::combine(search.verdict, routing::verdictOf(result.status));
+    if (result.status == AttemptStatus::Shed)
+        context.routing.latencies.recordPressure(search.request.service, 0, 1, now);
+    if (isAnswerTo(search, n, result)) {
+        takeAnswer(search, context, n, result, step, now);
+    } else {
+        it->lastFailure = failureOf(search, result);
+        if (result.status == AttemptStatus::ConnectionLost)
+            takeCrash(search, context, n, result, step, now);
+        else
+            retryElsewhere(search, context, n, result, step, now);
     }
-    if (std::ranges::all_of(search.shards, isSettled))
-        finish(search, step);
+    settle(search, context, step, now);
     return step;
 }
 
-SearchStep timerExpired(Search& search, SearchContext&, base::TimePoint now)
+SearchStep slotFreed(Search& search, SearchContext& context, base::TimePoint now)
 {
     SearchStep step;
-    if (search.isFinished || now < search.request.deadline)
+    if (search.phase == SearchPhase::Finished)
         return step;
-    for (auto& progress : search.shards) {
-        if (!progress.isAnswered)
-            progress.lastFailure = "deadline_exceeded";
+    if (search.phase == SearchPhase::Canary) {
+        auto isIdle = std::ranges::all_of(search.shards, [](const ShardProgress& it) { return it.open.empty(); });
+        // A suspect that waits for its turn is not sent earlier because a slot is free.
+        if (isIdle && search.canaryAt && context.routing.quarantine.turn(search.fingerprint, now) <= now)
+            sendCanary(search, context, step, now);
+    } else {
+        for (size_t n = 0; n < search.shards.size(); ++n) {
+            if (search.shards[n].isWaiting)
+                sendNext(search, context, n, step, now);
+        }
+    }
+    settle(search, context, step, now);
+    return step;
+}
+
+SearchStep timerExpired(Search& search, SearchContext& context, base::TimePoint now)
+{
+    SearchStep step;
+    if (search.phase == SearchPhase::Finished)
+        return step;
+    if (now >= search.request.deadline) {
+        for (auto& progress : search.shards) {
+            if (!progress.isAnswered && progress.lastFailure.empty())
+                progress.lastFailure = "deadline_exceeded";
+        }
+        finish(search, context, step, now);
+        return step;
+    }
+    if (search.phase == SearchPhase::Canary && search.canaryAt && now >= *search.canaryAt) {
+        if (context.routing.quarantine.isQuarantined(search.fingerprint, now)) {
+            refuse(search, context, base::RefusalCode::Quarantined, "the request is quarantined", step, now);
+            return step;
+        }
+        sendCanary(search, context, step, now);
+    }
+    for (size_t n = 0; n < search.shards.size(); ++n) {
+        auto& progress = search.shards[n];
+        if (progress.retryAt && now >= *progress.retryAt) {
+            progress.retryAt.reset();
+            sendNext(search, context, n, step, now);
+        } else if (progress.isWaiting) {
+            sendNext(search, context, n, step, now);
+        }
     }
-    finish(search, step);
+    sendHedges(search, context, step, now);
+    settle(search, context, step, now);
     return step;
 }
 
--- a/Source/papayabend/query/Search.h
+++ b/Source/papayabend/query/Search.h
@@ -6,6 +6,7 @@
 #include "papayabend/catalog/Catalog.h"
 #include "papayabend/query/Coverage.h"
 #include "papayabend/routing/Attempt.h"
+#include "papayabend/routing/RoutingState.h"
 #include "papayabend/routing/UpstreamTable.h"
 
 #include <memory>
@@ -44,21 +45,44 @@
 struct SearchStep {
     std::vector<routing::Attempt> send;
     std::vector<routing::AttemptId> cancel;
+    std::vector<catalog::UpstreamId> waitFor; /**< Call slotFreed() when one of them has a free slot. */
+    std::vector<routing::QuarantineNotice> notices; /**< For all other hosts of the serving set, at once. */
     std::optional<base::TimePoint> timer;
     std::optional<SearchAnswer> answer; /**< Set once, at the end. */
     std::optional<base::Refusal> refusal; /**< Set in place of an answer. */
 };
 
+/** \struct OpenAttempt
+ * \brief Attempt whose result is awaited.
+ */
+struct OpenAttempt {
+    routing::AttemptId id { 0 };
+    catalog::UpstreamId upstream {};
+    base::TimePoint sent {};
+};
+
 /** \struct ShardProgress
  * \brief State of one shard of a running search.
  */
 struct ShardProgress {
-    std::vector<routing::Attempt> open;
+    std::vector<OpenAttempt> open;
     std::vector<catalog::UpstreamId> tried;
+    uint32_t sent { 0 };
+    uint64_t unitsSearched { 0 };
     bool isAnswered { false };
+    bool isWaiting { false }; /**< All usable replicas are at their limit in flight. */
+    bool isGivenUp { false };
+    bool mayHedge { true };
+    base::TimePoint hedgeAt {}; /**< Set while an attempt is open. */
+    std::optional<base::TimePoint> retryAt;
     std::string lastFailure;
 };
 
+/** \enum SearchPhase
+ * \brief A search is first tried on one upstream alone if its fingerprint has not succeeded before.
+ */
+enum class SearchPhase : uint8_t { Canary, FanOut, Finished };
+
 /** \struct Search
  * \brief A running search. Not safe for use by several threads at once.
  */
@@ -68,7 +92,15 @@
     const catalog::Snapshot* snapshot { nullptr };
     std::vector<ShardProgress> shards;
     SearchAnswer answer;
-    bool isFinished { false };
+    SearchPhase phase { SearchPhase::FanOut };
+    uint64_t fingerprint { 0 };
+    bool isProven { false }; /**< An upstream has answered the fingerprint before. */
+    bool wasRestarted { false };
+    base::Verdict verdict { base::Verdict::NotRun }; /**< Of all ended attempts together. */
+    std::vector<catalog::UpstreamId> canaryTried;
+    bool isCanaryWaiting { false }; /**< For a free slot; the search is on the lists of waiting searches. */
+    std::optional<base::TimePoint> canaryAt; /**< Time of the next canary attempt. */
+    base::TimePoint timerAt {}; /**< Earliest timer that was asked for and has not expired. */
 };
 
 /** \struct SearchContext
@@ -76,13 +108,18 @@
  */
 struct SearchContext {
     routing::UpstreamTable& upstreams;
+    routing::RoutingState& routing;
+    std::shared_ptr<const catalog::Catalog> newestCatalog;
     base::Random& random;
     routing::AttemptId& lastAttempt;
 };
 
-/** Pins a snapshot and sends one attempt to each shard. */
+/** Pins a snapshot and sends the first attempts. */
 SearchStep startSearch(Search&, SearchContext&, base::TimePoint now);
 SearchStep attemptFinished(Search&, SearchContext&, const routing::AttemptResult&, base::TimePoint now);
 SearchStep timerExpired(Search&, SearchContext&, base::TimePoint now);
 
+/** Sends waiting attempts for which there is a free slot now. */
+SearchStep slotFreed(Search&, SearchContext&, base::TimePoint now);
+
 }
--- a/Source/papayabend/routing/Attempt.h
+++ b/Source/papayabend/routing/Attempt.h
@@ -71,6 +71,7 @@
     uint32_t maxHits { 0 };
     base::TimePoint deadline {};
     bool isExecution { false };
+    bool isProbe { false }; /**< Asks for health and load only; service and shard are empty. */
 };
 
 /** \struct AttemptResult
--- /dev/null
+++ b/Source/papayabend/routing/ExtraBudget.cpp
@@ -0,0 +1,71 @@
+#include "papayabend/routing/ExtraBudget.h"
+
+#include <algorithm>
+
+namespace papayabend::routing {
+
+namespace {
+
+    int64_t partNumber(base::Duration window, base::TimePoint now)
+    {
+        auto length = std::max<int64_t>(window.count() / static_cast<int64_t>(SlidingCounts::parts), 1);
+        return now.time_since_epoch().count() / length;
+    }
+
+    bool isWithin(const WindowTotals& totals, double share, uint64_t burst)
+    {
+        return static_cast<double>(totals.extra + 1)
+            <= std::max(share * static_cast<double>(totals.needed), static_cast<double>(burst));
+    }
+
+}
+
+void count(SlidingCounts& counts, base::Duration window, base::TimePoint now, uint64_t needed, uint64_t extra)
+{
+    auto number = partNumber(window, now);
+    auto& part = counts.ring[static_cast<size_t>(number) % SlidingCounts::parts];
+    if (part.number != number)
+        part = { number, 0, 0 };
+    part.needed += needed;
+    part.extra += extra;
+}
+
+WindowTotals totals(const SlidingCounts& counts, base::Duration window, base::TimePoint now)
+{
+    auto number = partNumber(window, now);
+    WindowTotals sum;
+    for (const auto& part : counts.ring) {
+        if (part.number <= number - static_cast<int64_t>(SlidingCounts::parts) || part.number > number)
+            continue;
+        sum.needed += part.needed;
+        sum.extra += part.extra;
+    }
+    return sum;
+}
+
+void ExtraBudget::needed(std::string_view account, uint64_t n, base::Duration window, base::TimePoint now)
+{
+    std::scoped_lock lock(m_mutex);
+    count(m_host, window, now, n, 0);
+    count(m_accounts[std::string(account)], window, now, n, 0);
+}
+
+bool ExtraBudget::tryTake(
+    std::string_view account, double share, uint64_t burst, base::Duration window, base::TimePoint now)
+{
+    std::scoped_lock lock(m_mutex);
+    auto& own = m_accounts[std::string(account)];
+    if (!isWithin(totals(m_host, window, now), share, burst) || !isWithin(totals(own, window, now), share, burst))
+        return false;
+    count(m_host, window, now, 0, 1);
+    count(own, window, now, 0, 1);
+    return true;
+}
+
+WindowTotals ExtraBudget::hostTotals(base::Duration window, base::TimePoint now) const
+{
+    std::scoped_lock lock(m_mutex);
+    return totals(m_host, window, now);
+}
+
+}
--- /dev/null
+++ b/Source/papayabend/routing/Quarantine.cpp
@@ -0,0 +1,158 @@
+#include "papayabend/routing/Quarantine.h"
+
+#include "papayabend/base/Hash.h"
+
+#include <algorithm>
+
+namespace papayabend::routing {
+
+namespace {
+
+    // Longer queues of suspects would exceed the deadlines of most searches.
+    constexpr int64_t maxRank = 4;
+
+    uint64_t successKey(uint64_t fingerprint, uint64_t snapshot)
+    {
+        return fingerprint ^ (snapshot * 0x9e3779b97f4a7c15ULL);
+    }
+
+    uint32_t countOf(const auto& suspect)
+    {
+        return std::max(suspect.reported, static_cast<uint32_t>(suspect.crashes.size()));
+    }
+
+    bool addCrash(std::vector<Crash>& crashes, const Crash& crash)
+    {
+        if (std::ranges::find(crashes, crash.upstream, &Crash::upstream) != crashes.end())
+            return false;
+        crashes.push_back(crash);
+        return true;
+    }
+
+}
+
+uint64_t fingerprintOf(std::string_view account, std::string_view service, std::string_view content)
+{
+    return base::hash(content, base::hash(service, base::hash(account)));
+}
+
+void Quarantine::configure(const CrashSettings& settings)
+{
+    std::scoped_lock lock(m_mutex);
+    m_settings = settings;
+}
+
+const Quarantine::Suspect* Quarantine::find(uint64_t fingerprint, base::TimePoint now) const
+{
+    auto it = m_suspects.find(fingerprint);
+    return it == m_suspects.end() || now - it->second.lastCrash > m_settings.validity ? nullptr : &it->second;
+}
+
+bool Quarantine::isQuarantined(uint64_t fingerprint, base::TimePoint now) const
+{
+    std::scoped_lock lock(m_mutex);
+    const auto* suspect = find(fingerprint, now);
+    return suspect && now < suspect->quarantinedUntil;
+}
+
+uint32_t Quarantine::crashes(uint64_t fingerprint, base::TimePoint now) const
+{
+    std::scoped_lock lock(m_mutex);
+    const auto* suspect = find(fingerprint, now);
+    return suspect ? countOf(*suspect) : 0;
+}
+
+bool Quarantine::needsCanary(uint64_t fingerprint, uint64_t snapshot, base::TimePoint now) const
+{
+    std::scoped_lock lock(m_mutex);
+    const auto* suspect = find(fingerprint, now);
+    if (suspect && countOf(*suspect) > 0)
+        return m_settings.canary != CanaryMode::Off;
+    if (m_settings.canary == CanaryMode::Off)
+        return false;
+    if (m_settings.canary == CanaryMode::AfterCrash
+        && (m_lastCrash == base::TimePoint {} || now - m_lastCrash > m_settings.recent))
+        return false;
+    auto key = successKey(fingerprint, snapshot);
+    return !m_succeeded.contains(key) && !m_succeededBefore.contains(key);
+}
+
+void Quarantine::succeeded(uint64_t fingerprint, uint64_t snapshot, uint64_t shard, base::TimePoint now)
+{
+    std::scoped_lock lock(m_mutex);
+    if (m_succeeded.size() >= m_settings.rememberedRequests / 2 || now - m_generationStart > m_settings.validity / 2) {
+        m_succeededBefore = std::exchange(m_succeeded, {});
+        m_generationStart = now;
+    }
+    m_succeeded.insert(successKey(fingerprint, snapshot));
+    auto it = m_suspects.find(fingerprint);
+    if (it == m_suspects.end() || now < it->second.quarantinedUntil)
+        return;
+    std::erase_if(it->second.crashes, [&](const Crash& crash) { return crash.shard == shard; });
+    if (it->second.crashes.empty())
+        m_suspects.erase(it);
+}
+
+QuarantineNotice Quarantine::crashed(uint64_t fingerprint, const Crash& crash, bool isProven, base::TimePoint now)
+{
+    std::scoped_lock lock(m_mutex);
+    removeExpired(now);
+    auto& suspect = m_suspects[fingerprint];
+    if (addCrash(suspect.crashes, crash))
+        suspect.lastCrash = now;
+    m_lastCrash = now;
+    auto isQuarantined = countOf(suspect) >= m_settings.crashes + (isProven ? 1 : 0);
+    if (isQuarantined)
+        suspect.quarantinedUntil = now + m_settings.validity;
+    return { fingerprint, countOf(suspect), isQuarantined, static_cast<uint64_t>(m_settings.validity.count()),
+        crash.upstream, crash.shard };
+}
+
+bool Quarantine::received(const QuarantineNotice& notice, base::TimePoint now)
+{
+    std::scoped_lock lock(m_mutex);
+    removeExpired(now);
+    auto& suspect = m_suspects[notice.fingerprint];
+    auto before = countOf(suspect);
+    if (notice.lostUpstream != 0)
+        addCrash(suspect.crashes, { notice.lostUpstream, notice.shard });
+    else
+        suspect.reported = std::max(suspect.reported, notice.crashes);
+    auto isNews = countOf(suspect) > before;
+    if (isNews)
+        m_lastCrash = suspect.lastCrash = now;
+    if (notice.isQuarantined && now >= suspect.quarantinedUntil) {
+        suspect.lastCrash = now;
+        suspect.quarantinedUntil = now + base::Duration(static_cast<int64_t>(notice.validityUs));
+        isNews = true;
+    }
+    // Crashes that different hosts saw at the same time add up to a quarantine that none of them could decide.
+    // One more than for a local decision, because the notice does not tell whether the request had answers before.
+    if (countOf(suspect) > m_settings.crashes)
+        suspect.quarantinedUntil = now + m_settings.validity;
+    return isNews;
+}
+
+base::TimePoint Quarantine::turn(uint64_t fingerprint, base::TimePoint now) const
+{
+    std::scoped_lock lock(m_mutex);
+    const auto* suspect = find(fingerprint, now);
+    if (!suspect || suspect->crashes.empty())
+        return now;
+    auto lost = suspect->crashes.back().upstream;
+    auto rank = std::ranges::count_if(m_suspects, [&](const auto& it) {
+        const auto& [other, state] = it;
+        return other < fingerprint && now >= state.quarantinedUntil
+            && std::ranges::find(state.crashes, lost, &Crash::upstream) != state.crashes.end();
+    });
+    return suspect->lastCrash + m_settings.settle + m_settings.turn * std::min<int64_t>(rank, maxRank);
+}
+
+void Quarantine::removeExpired(base::TimePoint now)
+{
+    std::erase_if(m_suspects, [&](const auto& it) {
+        return now - it.second.lastCrash > m_settings.validity && now >= it.second.quarantinedUntil;
+    });
+}
+
+}
--- a/Source/papayabend/routing/QuarantineNotice.h
+++ b/Source/papayabend/routing/QuarantineNotice.h
@@ -12,6 +12,8 @@
     uint32_t crashes { 0 }; /**< Upstreams lost with the request in flight, as the sender knows. */
     bool isQuarantined { false };
     uint64_t validityUs { 0 };
+    uint64_t lostUpstream { 0 }; /**< Hash of the upstream's name; hosts that lost the same one count it once. */
+    uint64_t shard { 0 }; /**< Hash of the shard's name; 0 for a pool. */
 };
 
 }
