--- a/Source/papayabend/engine/SharedState.h
+++ b/Source/papayabend/engine/SharedState.h
@@ -4,11 +4,15 @@
 #include "papayabend/catalog/Catalog.h"
 #include "papayabend/catalog/UpstreamNames.h"
 #include "papayabend/membership/HostView.h"
+#include "papayabend/routing/QuarantineNotice.h"
+#include "papayabend/routing/ReplicaChoice.h"
+#include "papayabend/routing/RoutingState.h"
 #include "papayabend/routing/UpstreamTable.h"
 #include "papayabend/table/Table.h"
 
 #include <cstdint>
 #include <utility>
+#include <tbb/concurrent_queue.h>
 
 namespace papayabend::engine {
 
@@ -30,6 +34,8 @@
     base::Published<membership::HostView> hostView;
     catalog::UpstreamNames upstreamNames;
     routing::UpstreamTable upstreams;
+    routing::RoutingState routing;
+    tbb::concurrent_queue<routing::QuarantineNotice> quarantineNotices; /**< For the serving set, at once. */
 };
 
 }
