execution: Run a non-idempotent request at most once per ticket

Cause: the daemon has no way to run a request that must not run twice. Change: a ticket book bound to one process incarnation and a request path on top of it. Sent is recorded before the attempt is returned, a second attempt follows only NotRun, resends wait for or get the stored outcome, and each answer "not run" closes its ticket. Records can be exported and imported at a planned stop.

--- a/Source/papayabend/engine/Action.h
+++ b/Source/papayabend/engine/Action.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/Refusal.h"
 #include "papayabend/base/Time.h"
+#include "papayabend/execution/Execution.h"
 #include "papayabend/query/Search.h"
 #include "papayabend/routing/Attempt.h"
 
@@ -27,6 +28,24 @@
     query::SearchAnswer answer;
 };
 
+/** Answer a caller's non-idempotent request with the upstream's answer. */
+struct ReplyExecution {
+    routing::RequestId request { 0 };
+    execution::ExecutionAnswer answer;
+};
+
+/** Answer a caller's question for the outcome of a ticket. */
+struct ReplyOutcome {
+    routing::RequestId request { 0 };
+    execution::OutcomeAnswer answer;
+};
+
+/** Pass a request to the host that knows its ticket; the reply is reported to Engine::forwardFinished(). */
+struct ForwardExecution {
+    std::string host;
+    execution::ExecutionRequest request;
+};
+
 /** Refuse a caller's request. */
 struct ReplyRefusal {
     routing::RequestId request { 0 };
@@ -46,7 +65,8 @@
 };
 
 /** What the shell has to do after an event. */
-using Action = std::variant<SendAttempt, CancelAttempt, ReplySearch, ReplyRefusal, SetTimer, StateChange>;
+using Action = std::variant<SendAttempt, CancelAttempt, ReplySearch, ReplyExecution, ReplyOutcome, ForwardExecution,
+    ReplyRefusal, SetTimer, StateChange>;
 using Actions = std::vector<Action>;
 
 }
--- /dev/null
+++ b/Source/papayabend/engine/ExecutionPath.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "papayabend/base/Random.h"
+#include "papayabend/engine/Action.h"
+#include "papayabend/engine/SharedState.h"
+#include "papayabend/execution/TicketBook.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <tbb/concurrent_hash_map.h>
+#include <variant>
+#include <vector>
+
+namespace papayabend::engine {
+
+/** \struct ExecutionStep
+ * \brief What has to be done after an event of a non-idempotent request.
+ */
+struct ExecutionStep {
+    Actions actions;
+    bool wantsAdmission { false }; /**< The request has to pass the admission queue before it is sent. */
+    std::vector<routing::RequestId> ended; /**< Requests that no longer need the upstream budget. */
+};
+
+/** \class ExecutionPath
+ * \brief Non-idempotent requests of the host. Safe for use by several threads.
+ */
+class ExecutionPath {
+public:
+    /** Names the hosts that may know a ticket of another process, the most likely one first. */
+    using Locate = std::function<std::vector<std::string>(const execution::TicketId&)>;
+
+    ExecutionPath(SharedState&, std::string host, uint64_t incarnation, const execution::TicketSettings&, Locate);
+
+    execution::TicketBook& book() { return m_book; }
+
+    ExecutionStep start(execution::ExecutionRequest, base::TimePoint now);
+
+    /** The admission queue let the request pass. */
+    ExecutionStep admitted(routing::RequestId, base::TimePoint now);
+
+    /** The admission queue refused the request; it has not been sent. */
+    ExecutionStep refused(routing::RequestId, const base::Refusal&, base::TimePoint now);
+
+    ExecutionStep attemptFinished(const routing::AttemptResult&, base::TimePoint now);
+    ExecutionStep timerExpired(routing::RequestId, base::TimePoint now);
+
+    /** Takes the reply of the host that a request was forwarded to. */
+    ExecutionStep forwardFinished(routing::RequestId, execution::ForwardReply, base::TimePoint now);
+
+    bool isRunning(routing::RequestId) const;
+
+private:
+    enum class Phase : uint8_t { Queued, InFlight, WaitsForOther, Forwarded };
+    struct Running {
+        execution::ExecutionRequest request;
+        execution::TicketId ticket;
+        Phase phase { Phase::Queued };
+        bool isCallerAnswered { false };
+        base::Random random;
+        routing::AttemptId lastAttempt { 0 };
+        routing::AttemptId openAttempt { 0 };
+        std::vector<catalog::UpstreamId> tried;
+        std::vector<std::string> forwardTargets; /**< Still to be asked, the next one last. */
+    };
+    using Requests = tbb::concurrent_hash_map<routing::RequestId, std::shared_ptr<Running>>;
+
+    ExecutionStep answerQuery(const execution::ExecutionRequest&, const execution::TicketId&);
+    ExecutionStep forward(execution::ExecutionRequest, const execution::TicketId&);
+    bool forwardNext(Running&, Actions&);
+    bool send(Running&, base::TimePoint now, Actions&);
+    void settle(Requests::accessor&, base::Verdict, base::RefusalCode, std::string body, base::TimePoint now,
+        std::optional<base::Duration> retryAfter, ExecutionStep&);
+
+    SharedState& m_shared;
+    execution::TicketBook m_book;
+    Locate m_locate;
+    Requests m_requests;
+};
+
+}
--- a/Source/papayabend/execution/TicketRecord.h
+++ b/Source/papayabend/execution/TicketRecord.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "papayabend/base/LastReason.h"
+#include "papayabend/base/Refusal.h"
 #include "papayabend/base/Verdict.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace papayabend::execution {
 
@@ -18,6 +22,12 @@
     bool operator==(const TicketId&) const = default;
 };
 
+/** Returns the text form "host.incarnation.sequence"; both numbers are hexadecimal. */
+std::string toString(const TicketId&);
+
+/** Parses the text form. The host name may contain dots. */
+std::optional<TicketId> parseTicketId(std::string_view text, base::LastReason& reason);
+
 /** \enum TicketState
  * \brief State of a ticket; it only advances.
  */
@@ -28,6 +38,9 @@
     Closed, /**< Never used and can no longer be used. */
 };
 
+/** Returns the wire name: "unused", "sent", "finished" or "closed". */
+std::string_view toString(TicketState);
+
 /** \struct TicketRecord
  * \brief What the issuing process knows of a ticket; handed to peers at a planned stop.
  */
@@ -38,6 +51,8 @@
     TicketState state { TicketState::Unused };
     base::Verdict verdict { base::Verdict::NotRun };
     std::string body; /**< Answer of the upstream, if the verdict is Ran. */
+    uint64_t fingerprint { 0 }; /**< Hash of the request's body; 0 before the first use. */
+    base::RefusalCode code { base::RefusalCode::OutcomeUnknown }; /**< Reason, if the verdict is not Ran. */
 };
 
 }
--- a/Source/papayabend/transport/Shell.cpp
+++ b/Source/papayabend/transport/Shell.cpp
@@ -30,6 +30,17 @@
 
 void Shell::perform(engine::ReplySearch& action) { reply(action.request, std::move(action.answer)); }
 
+void Shell::perform(engine::ReplyExecution& action) { reply(action.request, std::move(action.answer)); }
+
+void Shell::perform(engine::ReplyOutcome& action) { reply(action.request, std::move(action.answer)); }
+
+void Shell::perform(engine::ForwardExecution& action)
+{
+    reply(action.request.id,
+        base::Refusal {
+            base::RefusalCode::OutcomeUnknown, base::Verdict::MayHaveRun, "no connection between hosts", {} });
+}
+
 void Shell::perform(engine::ReplyRefusal& action) { reply(action.request, std::move(action.refusal)); }
 
 void Shell::perform(engine::SetTimer& action)
--- a/Source/papayabend/transport/Shell.h
+++ b/Source/papayabend/transport/Shell.h
@@ -12,7 +12,7 @@
 namespace papayabend::transport {
 
 /** Answer to a caller: one alternative for each kind of reply. */
-using Reply = std::variant<query::SearchAnswer, base::Refusal>;
+using Reply = std::variant<query::SearchAnswer, execution::ExecutionAnswer, execution::OutcomeAnswer, base::Refusal>;
 
 /** \class Shell
  * \brief Performs the engine's actions with sockets and timers and feeds the results back as events.
@@ -31,6 +31,9 @@
     void perform(engine::SendAttempt&);
     void perform(engine::CancelAttempt&);
     void perform(engine::ReplySearch&);
+    void perform(engine::ReplyExecution&);
+    void perform(engine::ReplyOutcome&);
+    void perform(engine::ForwardExecution&);
     void perform(engine::ReplyRefusal&);
     void perform(engine::SetTimer&);
     void perform(engine::StateChange&);
