admission: Add fair queues, weighted max-min shares and leased limits

Cause: every request reaches the upstreams at once; shares and limits of the table have no effect. Change: a weighted fair queue for each service with early refusals, weighted max-min allocation of the fleet's capacity over reported demand, and a ledger of portions and leases of each limit. Figures: none before; after, in admissionTests (10 s of virtual time, 2 accounts with weights 3 and 1, demand 10 times the capacity) both accounts are within 5% of their grants, and 7 cases of the ledger keep the sum of the rates of 2 to 3 hosts at the limit. Conclusion: the modules decide as designed on one host; the exchange over the fleet is not connected yet.

--- a/Source/papayabend/admission/Demand.h
+++ b/Source/papayabend/admission/Demand.h
@@ -14,6 +14,7 @@
     double arrivalsPerSecond { 0 };
     double servedPerSecond { 0 };
     double backlog { 0 }; /**< Requests that wait now. */
+    uint64_t serviceTimeUs { 0 }; /**< Mean time that a call holds a slot of an upstream; 0: not measured. */
 };
 
 /** \struct QuotaLease
@@ -26,7 +27,8 @@
     std::string account;
     std::string service;
     double requestsPerSecond { 0 };
-    uint64_t validityUs { 0 }; /**< Time from receipt; the lender waits longer than this. */
+    uint64_t validityUs { 0 }; /**< Time from the sending of the report \a basis; the lender waits longer. */
+    uint64_t basis { 0 }; /**< Heartbeat of the borrower's report that the lender answers. */
 };
 
 }
--- /dev/null
+++ b/Source/papayabend/admission/FairQueue.cpp
@@ -0,0 +1,254 @@
+#include "papayabend/admission/FairQueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace papayabend::admission {
+
+namespace {
+
+    using base::RefusalCode;
+
+    // Interactive requests in a row after which one bulk request passes, so that bulk is not starved.
+    constexpr uint32_t interactiveRun = 8;
+
+    // Requests that an account may pass at once after a pause, as time at its rate.
+    constexpr double burstSeconds = 0.05;
+
+    // Wakes are not set closer than this; a rate above one request per interval passes several at once.
+    constexpr base::Duration minWake = std::chrono::milliseconds(1);
+
+    constexpr double serviceTimeSmoothing = 0.05;
+    constexpr double rateSmoothing = 0.5;
+
+    RefusedRequest refuse(routing::RequestId id, RefusalCode code, std::string detail, base::Duration retryAfter = {})
+    {
+        RefusedRequest refused { id, { code, base::Verdict::NotRun, std::move(detail), {} } };
+        if (retryAfter > base::Duration::zero())
+            refused.refusal.retryAfter = retryAfter;
+        return refused;
+    }
+
+    base::Duration toDuration(double seconds)
+    {
+        constexpr double longest = 3600;
+        return base::Duration(static_cast<int64_t>(std::ceil(std::min(seconds, longest) * 1e6)));
+    }
+
+    void refill(AccountQueue& queue, base::TimePoint now)
+    {
+        if (queue.rate) {
+            auto seconds = std::chrono::duration<double>(now - queue.refilled).count();
+            auto depth = std::max(1.0, *queue.rate * burstSeconds);
+            queue.tokens = std::min(queue.tokens + std::max(seconds, 0.0) * *queue.rate, depth);
+        }
+        queue.refilled = now;
+    }
+
+    base::Duration untilToken(const AccountQueue& queue)
+    {
+        if (!queue.rate || queue.tokens >= 1)
+            return {};
+        return toDuration(*queue.rate > 0 ? (1 - queue.tokens) / *queue.rate : 3600);
+    }
+
+    /** Time until a request behind all waiting ones passes. */
+    base::Duration expectedWait(const FairQueue& service, const AccountQueue& queue)
+    {
+        auto ahead = static_cast<double>(queue.waiting.size());
+        if (queue.rate)
+            return toDuration(*queue.rate > 0 ? std::max(ahead + 1 - queue.tokens, 0.0) / *queue.rate : 3600);
+        return base::Duration(static_cast<int64_t>(ahead)) * service.serviceTime.count() / std::max(service.window, 1U);
+    }
+
+    bool isEligible(const AccountQueue& queue, base::TimePoint now)
+    {
+        return !queue.waiting.empty() && (!queue.rate || queue.tokens >= 1) && queue.quotaBlockedUntil <= now;
+    }
+
+    /** Returns the account that passes next, or the end. */
+    auto chooseNext(FairQueue& service, base::TimePoint now)
+    {
+        auto best = service.accounts.end();
+        bool bulkIsDue = service.interactiveInARow >= interactiveRun;
+        for (auto it = service.accounts.begin(); it != service.accounts.end(); ++it) {
+            if (!isEligible(it->second, now))
+                continue;
+            auto rank = [&](const AccountQueue& queue) {
+                return std::pair(queue.grant.isBulk != bulkIsDue, queue.virtualTime);
+            };
+            if (best == service.accounts.end() || rank(it->second) < rank(best->second))
+                best = it;
+        }
+        return best;
+    }
+
+    void dropLate(FairQueue& service, AccountQueue& queue, base::TimePoint now, AdmissionStep& step)
+    {
+        while (!queue.waiting.empty() && queue.waiting.front().deadline <= now + service.serviceTime) {
+            step.refused.push_back(refuse(
+                queue.waiting.front().id, RefusalCode::DeadlineExceeded, "the request waited until its deadline"));
+            queue.waiting.pop_front();
+        }
+    }
+
+    void setWake(FairQueue& service, base::TimePoint now, AdmissionStep& step)
+    {
+        std::optional<base::TimePoint> wake;
+        for (const auto& [name, queue] : service.accounts) {
+            if (queue.waiting.empty())
+                continue;
+            auto at = std::max({ now + untilToken(queue), queue.quotaBlockedUntil, now + minWake });
+            wake = std::min(wake.value_or(at), at);
+        }
+        // A full window is woken by release().
+        if (!wake || service.inFlight >= service.window)
+            return;
+        if (service.pendingWake && *service.pendingWake > now && *service.pendingWake <= *wake)
+            return;
+        service.pendingWake = wake;
+        step.wake = wake;
+    }
+
+}
+
+AdmissionStep setGrants(FairQueue& service, const std::map<std::string, AccountGrant, std::less<>>& grants)
+{
+    AdmissionStep step;
+    std::erase_if(service.accounts, [&](auto& entry) {
+        if (grants.contains(entry.first))
+            return false;
+        std::ranges::transform(
+            entry.second.waiting, std::back_inserter(step.refused), [](const QueuedRequest& request) {
+                return refuse(request.id, RefusalCode::AccessDenied, "the table in force gives no access");
+            });
+        return true;
+    });
+    for (const auto& [account, grant] : grants)
+        service.accounts[account].grant = grant;
+    return step;
+}
+
+AdmissionStep submit(FairQueue& service, const AdmissionSettings& settings, std::string_view account,
+    const QueuedRequest& request, base::TimePoint now, const TakeQuota& takeQuota)
+{
+    AdmissionStep step;
+    auto it = service.accounts.find(account);
+    if (it == service.accounts.end()) {
+        step.refused.push_back(refuse(request.id, RefusalCode::AccessDenied, "the table gives no access"));
+        return step;
+    }
+    auto& queue = it->second;
+    ++queue.arrivals;
+    refill(queue, now);
+    auto wait = expectedWait(service, queue);
+    if (now >= request.deadline) {
+        step.refused.push_back(refuse(request.id, RefusalCode::DeadlineExceeded, "the deadline has passed"));
+    } else if (queue.waiting.size() >= settings.queueLength) {
+        step.refused.push_back(refuse(request.id, RefusalCode::QueueFull, "the account's queue is full", wait));
+    } else if (queue.quotaBlockedUntil > request.deadline) {
+        step.refused.push_back(refuse(request.id, RefusalCode::LimitReached,
+            "the limit of the account allows no request before the deadline", queue.quotaBlockedUntil - now));
+    } else if (now + wait + service.serviceTime > request.deadline) {
+        step.refused.push_back(
+            refuse(request.id, RefusalCode::DeadlineTooShort, "the queue is longer than the remaining time", wait));
+    } else {
+        if (queue.waiting.empty())
+            queue.virtualTime = std::max(queue.virtualTime, service.virtualNow);
+        queue.waiting.push_back(request);
+        return dispatch(service, now, takeQuota);
+    }
+    return step;
+}
+
+AdmissionStep dispatch(FairQueue& service, base::TimePoint now, const TakeQuota& takeQuota)
+{
+    AdmissionStep step;
+    for (auto& [name, queue] : service.accounts)
+        refill(queue, now);
+    while (service.inFlight < service.window) {
+        auto it = chooseNext(service, now);
+        if (it == service.accounts.end())
+            break;
+        auto& queue = it->second;
+        dropLate(service, queue, now, step);
+        if (queue.waiting.empty())
+            continue;
+        auto blocked = takeQuota ? takeQuota(it->first, queue.grant) : base::Duration::zero();
+        if (blocked > base::Duration::zero()) {
+            queue.quotaBlockedUntil = now + blocked;
+            continue;
+        }
+        step.admitted.push_back(queue.waiting.front().id);
+        queue.waiting.pop_front();
+        service.virtualNow = std::max(service.virtualNow, queue.virtualTime);
+        queue.virtualTime += 1 / queue.grant.weight;
+        if (queue.rate)
+            queue.tokens -= 1;
+        ++queue.served;
+        ++service.inFlight;
+        service.interactiveInARow = queue.grant.isBulk ? 0 : service.interactiveInARow + 1;
+    }
+    setWake(service, now, step);
+    return step;
+}
+
+void release(FairQueue& service, base::Duration serviceTime)
+{
+    if (service.inFlight > 0)
+        --service.inFlight;
+    if (serviceTime <= base::Duration::zero())
+        return;
+    if (service.serviceTime == base::Duration::zero())
+        service.serviceTime = serviceTime;
+    auto change = static_cast<double>((serviceTime - service.serviceTime).count()) * serviceTimeSmoothing;
+    service.serviceTime += base::Duration(static_cast<int64_t>(std::round(change)));
+}
+
+bool removeWaiting(FairQueue& service, std::string_view account, routing::RequestId id)
+{
+    auto it = service.accounts.find(account);
+    return it != service.accounts.end()
+        && std::erase_if(it->second.waiting, [&](const QueuedRequest& request) { return request.id == id; }) > 0;
+}
+
+AdmissionStep expireQueued(FairQueue& service, base::TimePoint now)
+{
+    AdmissionStep step;
+    for (auto& [name, queue] : service.accounts) {
+        std::erase_if(queue.waiting, [&](const QueuedRequest& request) {
+            if (request.deadline > now)
+                return false;
+            step.refused.push_back(
+                refuse(request.id, RefusalCode::DeadlineExceeded, "the request waited until its deadline"));
+            return true;
+        });
+    }
+    return step;
+}
+
+std::vector<DemandReport> takeReports(FairQueue& service, std::string_view name, base::TimePoint now)
+{
+    std::vector<DemandReport> reports;
+    auto seconds = std::chrono::duration<double>(now - service.measured).count();
+    bool isFirst = service.measured == base::TimePoint {};
+    service.measured = now;
+    for (auto& [account, queue] : service.accounts) {
+        auto smooth = [&](double& mean, uint64_t& count) {
+            auto rate = seconds > 0 && !isFirst ? static_cast<double>(std::exchange(count, 0)) / seconds : 0;
+            mean += (rate - mean) * rateSmoothing;
+        };
+        smooth(queue.arrivalsPerSecond, queue.arrivals);
+        smooth(queue.servedPerSecond, queue.served);
+        constexpr double negligible = 1e-3;
+        if (queue.arrivalsPerSecond < negligible && queue.servedPerSecond < negligible && queue.waiting.empty())
+            continue;
+        reports.push_back({ account, std::string(name), queue.arrivalsPerSecond, queue.servedPerSecond,
+            static_cast<double>(queue.waiting.size()), static_cast<uint64_t>(service.serviceTime.count()) });
+    }
+    return reports;
+}
+
+}
--- /dev/null
+++ b/Tests/admission/AdmissionTest.cpp
@@ -0,0 +1,125 @@
+#include "papayabend/admission/Admission.h"
+
+#include <CppUTest/TestHarness.h>
+#include <deque>
+
+using namespace papayabend::admission;
+using namespace std::chrono_literals;
+using papayabend::base::RefusalCode;
+using papayabend::base::TimePoint;
+using papayabend::base::Verdict;
+
+TEST_GROUP(Admission)
+{
+    TimePoint now { 1000s };
+    Admission admission { "host", {}, {} };
+    uint64_t lastId = 0;
+
+    void setup() override { grant({ { "muscat", { 1, {}, false } }, { "sul", { 1, {}, true } } }); }
+
+    void grant(std::map<std::string, AccountGrant, std::less<>> accounts, double slots = 1)
+    {
+        const std::vector<ServiceGrants> grants { { "painel", slots, std::move(accounts) } };
+        refusedByTable = admission.setGrants(grants, now).refused;
+    }
+
+    AdmissionStep submit(std::string_view account, std::chrono::milliseconds time = 1h)
+    {
+        return admission.submit(account, "painel", { ++lastId, now + time }, now);
+    }
+
+    std::vector<RefusedRequest> refusedByTable;
+};
+
+// Guards against requests of unknown accounts or services that reach an upstream.
+TEST(Admission, UnknownAccountsAndServicesAreRefusedAsNotRun)
+{
+    CHECK(submit("nobody").refused.at(0).refusal.code == RefusalCode::UnknownAccount);
+    auto step = admission.submit("sul", "nothing", { 1, now + 1s }, now);
+    CHECK(step.refused.at(0).refusal.code == RefusalCode::UnknownService);
+    CHECK(step.refused.at(0).refusal.verdict == Verdict::NotRun);
+}
+
+// Guards against bulk requests before interactive ones, and against bulk requests that never pass.
+TEST(Admission, InteractivePassesFirstWithoutStarvingBulk)
+{
+    submit("muscat");
+    auto bulk = lastId + 1;
+    submit("sul");
+    for (int n = 0; n < 20; ++n)
+        submit("muscat");
+    int position = 0;
+    for (; position < 20; ++position) {
+        if (admission.release("painel", 0us, now).admitted.at(0) == bulk)
+            break;
+    }
+    CHECK(position > 0);
+    CHECK(position < 10);
+}
+
+// Guards against queues without bound, and against a refusal without a time to come back.
+TEST(Admission, FullQueueIsRefusedEarly)
+{
+    submit("muscat");
+    for (size_t n = 0; n < AdmissionSettings {}.queueLength; ++n)
+        CHECK(submit("muscat").refused.empty());
+    admission.release("painel", 1000us, now);
+    submit("muscat");
+    auto refused = submit("muscat").refused.at(0).refusal;
+    CHECK(refused.code == RefusalCode::QueueFull);
+    CHECK(refused.verdict == Verdict::NotRun);
+    CHECK(refused.retryAfter.has_value());
+}
+
+// Guards against work for a caller that has given up.
+TEST(Admission, LateRequestsAreDroppedFromTheQueue)
+{
+    submit("muscat");
+    submit("muscat", 10ms);
+    now += 20ms;
+    auto step = admission.expireQueued(now);
+    CHECK(step.refused.at(0).refusal.code == RefusalCode::DeadlineExceeded);
+    CHECK(admission.release("painel", 0us, now).admitted.empty());
+}
+
+// Guards against a queued request that passes after the table has withdrawn its account's access.
+TEST(Admission, TableChangeRefusesQueuedRequests)
+{
+    submit("muscat");
+    submit("sul");
+    grant({ { "muscat", {} } });
+    LONGS_EQUAL(1, refusedByTable.size());
+    CHECK(refusedByTable[0].refusal.code == RefusalCode::AccessDenied);
+    CHECK(admission.release("painel", 0us, now).admitted.empty());
+}
+
+// Guards against an account that exceeds its rate when its share is taken by others.
+TEST(Admission, BackloggedAccountsPassAtTheirGrantedRate)
+{
+    grant({ { "muscat", { 3, {}, false } }, { "sul", { 1, {}, true } } }, 2);
+    submit("muscat");
+    admission.release("painel", 10ms, now); // 2 slots of 10 ms: 200/s, of which 190/s are given out.
+    std::map<bool, int> passed;
+    std::map<uint64_t, bool> isMuscat;
+    for (int n = 0; n < 10'000; ++n) {
+        now += 1ms;
+        std::deque<AdmissionStep> steps;
+        steps.push_back(admission.dispatch("painel", now));
+        isMuscat[lastId + 1] = true;
+        steps.push_back(submit("muscat"));
+        isMuscat[lastId + 1] = false;
+        steps.push_back(submit("sul"));
+        if (n % 500 == 0) {
+            admission.takeReports(now);
+            steps.push_back(admission.setAllocations(now));
+        }
+        for (; !steps.empty(); steps.pop_front()) {
+            for (auto id : steps.front().admitted) {
+                ++passed[isMuscat[id]];
+                steps.push_back(admission.release("painel", 10ms, now));
+            }
+        }
+    }
+    DOUBLES_EQUAL(190 * 10 * 0.75, passed[true], 190 * 10 * 0.75 * 0.05);
+    DOUBLES_EQUAL(190 * 10 * 0.25, passed[false], 190 * 10 * 0.25 * 0.05);
+}
--- /dev/null
+++ b/Tests/admission/QuotaLedgerTest.cpp
@@ -0,0 +1,141 @@
+#include "papayabend/admission/QuotaLedger.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace papayabend::admission;
+using namespace std::chrono_literals;
+using papayabend::base::TimePoint;
+
+TEST_GROUP(QuotaLedger)
+{
+    TimePoint now { 1000s };
+    QuotaSettings settings;
+    QuotaLedger a { "a", settings };
+    QuotaLedger b { "b", settings };
+    std::vector<std::string> both { "a", "b" };
+    uint64_t heartbeat = 0;
+
+    void setup() override
+    {
+        for (auto* host : { &a, &b })
+            host->setLimits({ { { "sul", "faturas" }, 20.0 } }, now);
+        list(both);
+        for (int n = 0; n < 8; ++n) {
+            now += 500ms;
+            announce();
+        }
+        CHECK(a.isEstablished() && b.isEstablished());
+    }
+
+    void list(const std::vector<std::string>& hosts)
+    {
+        a.setListed(hosts, now);
+        b.setListed(hosts, now);
+    }
+
+    void announce()
+    {
+        a.heard("b", b.countsPeer("a", now), now);
+        b.heard("a", a.countsPeer("b", now), now);
+    }
+
+    double rateOf(const QuotaLedger& host) { return host.rate("sul", "faturas", now); }
+
+    std::vector<QuotaLease> lendToB(double wantedByB)
+    {
+        b.reportSent(++heartbeat, now);
+        return a.lend("b", heartbeat, { { "a", {} }, { "b", { { "sul", "faturas", wantedByB, 0, 0, 0 } } } }, now);
+    }
+
+    int passedIn(QuotaLedger & host, std::chrono::seconds time)
+    {
+        int passed = 0;
+        for (auto end = now + time; now < end; now += 1ms)
+            passed += host.take("sul", "faturas", now) == 0us ? 1 : 0;
+        return passed;
+    }
+};
+
+// Guards against two hosts that both use the whole limit.
+TEST(QuotaLedger, PortionsSumUpToTheLimit)
+{
+    CHECK(rateOf(a) + rateOf(b) <= 20);
+    auto passed = passedIn(a, 10s);
+    CHECK(passed <= 100);
+    CHECK(passed >= 95);
+}
+
+// Guards against unused portions that cannot be used by the host whose callers need them.
+TEST(QuotaLedger, UnusedPortionIsLent)
+{
+    b.receive(lendToB(50), now);
+    CHECK(rateOf(b) > 19);
+    CHECK(rateOf(a) + rateOf(b) <= 20);
+}
+
+// Guards against a borrower that still uses a lease when the lender does, also when the lease arrives late.
+TEST(QuotaLedger, BorrowerEndsBeforeTheLender)
+{
+    auto leases = lendToB(50);
+    now += settings.leaseTime - 1ms;
+    b.receive(leases, now);
+    CHECK(rateOf(b) > 19);
+    now += 2ms;
+    CHECK(rateOf(b) < 11);
+    CHECK(rateOf(a) < 1);
+    now += settings.pauseMargin + 100ms;
+    CHECK(rateOf(a) > 9);
+}
+
+// Guards against a lease that answers an old report and arrives after its time.
+TEST(QuotaLedger, LateLeaseIsIgnored)
+{
+    auto leases = lendToB(50);
+    now += settings.leaseTime;
+    b.receive(leases, now);
+    CHECK(rateOf(b) < 11);
+}
+
+// Guards against a host that takes over the portion of an unreachable one.
+TEST(QuotaLedger, PortionOfAnUnreachableHostStaysReserved)
+{
+    now += 10min;
+    list(both);
+    CHECK(rateOf(a) <= 10);
+    a.setListed(std::vector<std::string> { "a" }, now);
+    now += settings.holdTime - 1s;
+    a.setListed(std::vector<std::string> { "a" }, now);
+    CHECK(rateOf(a) <= 10);
+}
+
+// Guards against a host that the list has dropped and that still uses the portion others take over.
+TEST(QuotaLedger, DroppedHostWithoutPeersStops)
+{
+    a.setListed(std::vector<std::string> { "b" }, now);
+    now += settings.holdTime / 2 + 1s;
+    DOUBLES_EQUAL(0, rateOf(a), 1e-9);
+}
+
+// Guards against a joining host that uses a portion before the others have reduced theirs.
+TEST(QuotaLedger, JoiningHostStartsWithNone)
+{
+    const std::vector<std::string> three { "a", "b", "c" };
+    QuotaLedger c("c", settings);
+    c.setLimits({ { { "sul", "faturas" }, 20.0 } }, now);
+    auto leases = lendToB(50);
+    b.receive(leases, now);
+    c.setListed(three, now);
+    now += 10s;
+    DOUBLES_EQUAL(0, rateOf(c), 1e-9);
+    list(three);
+    c.heard("a", a.countsPeer("c", now), now);
+    c.heard("b", b.countsPeer("c", now), now);
+    CHECK_FALSE(c.isEstablished());
+    now += 4s;
+    c.setListed(three, now);
+    c.heard("a", a.countsPeer("c", now), now);
+    c.heard("b", b.countsPeer("c", now), now);
+    CHECK(c.isEstablished());
+    CHECK(rateOf(a) + rateOf(b) + rateOf(c) <= 20);
+}
