--- a/Source/papayabend/admission/Admission.cpp
+++ b/Source/papayabend/admission/Admission.cpp
@@ -96,8 +96,9 @@
                 state = std::make_shared<ServiceState>();
         }
     }
-    for (const auto& [name, state] : all()) {
-        auto it = std::ranges::find(services, name, &ServiceGrants::service);
+    for (const auto& entry : all()) {
+        const auto& [name, state] = entry;
+        auto it = std::ranges::find(services, entry.first, &ServiceGrants::service);
         std::scoped_lock lock(state->mutex);
         // A service that the table no longer names keeps its requests in flight and admits no more.
         append(step,
@@ -203,12 +204,12 @@
 
 void Admission::takePeerReports(std::string_view peer, std::span<const DemandReport> reports, base::TimePoint now)
 {
-    for (const auto& [name, state] : all()) {
+    for (const auto& entry : all()) {
         std::vector<DemandReport> ofService;
-        std::ranges::copy_if(
-            reports, std::back_inserter(ofService), [&](const DemandReport& report) { return report.service == name; });
-        std::scoped_lock lock(state->mutex);
-        state->fleet.update(peer, std::move(ofService), now);
+        std::ranges::copy_if(reports, std::back_inserter(ofService),
+            [&](const DemandReport& report) { return report.service == entry.first; });
+        std::scoped_lock lock(entry.second->mutex);
+        entry.second->fleet.update(peer, std::move(ofService), now);
     }
     std::scoped_lock lock(m_demandMutex);
     m_demand.insert_or_assign(std::string(peer), std::vector<DemandReport>(reports.begin(), reports.end()));
