--- a/Tests/replay/WorldTest.cpp
+++ b/Tests/replay/WorldTest.cpp
@@ -61,6 +61,7 @@
     replay::run(again, replay::startTime + 10ms);
     replay::submit(again, [&] {
         replay::Request request;
+        request.account = "acc";
         request.service = "s";
         request.body = "q1";
         request.sentAt = again.now;
