--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -90,12 +90,6 @@
     }
 }
 
-void SearchPath::addProbes(const catalog::Catalog& catalog, Actions& actions, base::TimePoint now)
-{
-    for (auto& probe : routing::dueProbes(m_shared.upstreams, catalog, m_lastProbe, now))
-        actions.emplace_back(SendAttempt { std::move(probe) });
-}
-
 Actions SearchPath::start(query::SearchRequest request, base::TimePoint now)
 {
     auto id = request.id;
@@ -108,8 +102,11 @@
     Searches::accessor accessor;
     m_searches.insert(accessor, { id, running });
     auto context = contextOf(*running);
-    auto actions = perform(accessor, query::startSearch(running->search, context, now));
-    addProbes(*running->search.catalog, actions, now);
+    Actions actions;
+    for (auto& probe : routing::dueProbes(m_shared.upstreams, *running->search.catalog, id, m_lastProbe, now))
+        actions.emplace_back(SendAttempt { std::move(probe) });
+    std::ranges::move(
+        perform(accessor, query::startSearch(running->search, context, now)), std::back_inserter(actions));
     return actions;
 }
 
--- a/Source/papayabend/engine/SearchPath.h
+++ b/Source/papayabend/engine/SearchPath.h
@@ -36,7 +36,6 @@
 
     query::SearchContext contextOf(RunningSearch&);
     Actions perform(Searches::accessor&, query::SearchStep&&);
-    void addProbes(const catalog::Catalog&, Actions&, base::TimePoint now);
 
     /** Lets waiting searches use the free slots of an upstream, first come first served. */
     void wake(catalog::UpstreamId, Actions&, base::TimePoint now);
--- a/Source/papayabend/routing/Attempt.h
+++ b/Source/papayabend/routing/Attempt.h
@@ -71,7 +71,7 @@
     uint32_t maxHits { 0 };
     base::TimePoint deadline {};
     bool isExecution { false };
-    bool isProbe { false }; /**< Asks for health and load only; service and shard are empty. */
+    bool isProbe { false }; /**< Asks for health only and runs nothing; a call of Probe serves as well. */
 };
 
 /** \struct AttemptResult
--- a/Source/papayabend/routing/ReplicaChoice.cpp
+++ b/Source/papayabend/routing/ReplicaChoice.cpp
@@ -17,6 +17,7 @@
     constexpr double latencyHalfLifeUs = 2'000'000;
     constexpr double minRamp = 0.1;
     constexpr double overloadPenalty = 4;
+    constexpr double costNoise = 0.1;
 
     struct Candidate {
         const catalog::Upstream* upstream { nullptr };
@@ -61,11 +62,8 @@
         // The report is a hint: it never weighs more than one call of the host's own.
         auto load = state.inFlight.load() + 1 + std::min(reported, 1.0);
         auto cost = load * std::max(latency, 100.0) * domainWeight(settings, upstream.failureDomain);
-        if (hasTime) {
-            cost /= rampShare(state, settings, now);
-            if (toUs(now) < state.overloadedUntil.load())
-                cost *= overloadPenalty;
-        }
+        if (hasTime && toUs(now) < state.overloadedUntil.load())
+            cost *= overloadPenalty;
         return cost;
     }
 
@@ -87,10 +85,10 @@
 
     void keepIf(Candidates& candidates, bool mayKeepAll, const auto& predicate)
     {
-        if (mayKeepAll && std::ranges::none_of(candidates, predicate))
-            return;
-        candidates.erase(
-            std::remove_if(candidates.begin(), candidates.end(), std::not_fn(predicate)), candidates.end());
+        // The predicate may draw random numbers, so it is called once for each candidate.
+        auto rest = std::stable_partition(candidates.begin(), candidates.end(), predicate);
+        if (rest != candidates.begin() || !mayKeepAll)
+            candidates.erase(rest, candidates.end());
     }
 
     const catalog::Upstream* choose(
@@ -152,10 +150,18 @@
         return std::nullopt;
     if (candidates.size() == 1)
         return candidates.front().upstream->id;
+    const auto& settings = table.settings();
+    if (settings.policy != Policy::Random && now != base::TimePoint {}) {
+        // A cold upstream competes for its share of the choices only.
+        keepIf(candidates, true, [&](const Candidate& it) {
+            return base::uniform(random) < rampShare(table.state(it.upstream->id), settings, now);
+        });
+    }
+    if (candidates.size() == 1)
+        return candidates.front().upstream->id;
+    // Without the noise, a difference of microseconds would send all work to one replica.
     for (auto& it : candidates)
-        it.cost = costOf(table, *it.upstream, now);
-    // Equal costs would always favour the replica listed first.
-    std::ranges::shuffle(candidates, random);
+        it.cost = costOf(table, *it.upstream, now) * (1 + costNoise * base::uniform(random));
     return choose(candidates, table.settings().policy, query.key, random)->id;
 }
 
--- a/Source/papayabend/routing/UpstreamTable.cpp
+++ b/Source/papayabend/routing/UpstreamTable.cpp
@@ -255,8 +255,8 @@
     return true;
 }
 
-std::vector<Attempt> dueProbes(
-    UpstreamTable& table, const catalog::Catalog& catalog, std::atomic<AttemptId>& lastProbe, base::TimePoint now)
+std::vector<Attempt> dueProbes(UpstreamTable& table, const catalog::Catalog& catalog, RequestId request,
+    std::atomic<AttemptId>& lastProbe, base::TimePoint now)
 {
     std::vector<Attempt> probes;
     if (!table.claimProbeScan(now))
@@ -269,6 +269,7 @@
             continue;
         Attempt probe;
         probe.id = ++lastProbe;
+        probe.request = request;
         probe.upstream = upstream.id;
         probe.address = upstream.address;
         probe.deadline = now + table.settings().recovery.probeTimeout;
--- a/Source/papayabend/routing/UpstreamTable.h
+++ b/Source/papayabend/routing/UpstreamTable.h
@@ -120,8 +120,12 @@
 /** Records the end of an attempt. A second report of the same attempt has no effect and returns false. */
 bool attemptFinished(UpstreamTable&, const AttemptResult&, base::TimePoint now);
 
-/** Returns probes for upstreams whose backoff has ended; each has been recorded as started. */
+/**
+ * Returns probes for upstreams whose backoff has ended; each has been recorded as started. A probe names no service
+ * and carries no content, so that it runs nothing: any answer without a drain signal shows that the upstream is back.
+ * Its request is \a request, whose arrival was the occasion.
+ */
 std::vector<Attempt> dueProbes(
-    UpstreamTable&, const catalog::Catalog&, std::atomic<AttemptId>& lastProbe, base::TimePoint now);
+    UpstreamTable&, const catalog::Catalog&, RequestId request, std::atomic<AttemptId>& lastProbe, base::TimePoint now);
 
 }
--- /dev/null
+++ b/Tests/routing/QuarantineTest.cpp
@@ -0,0 +1,82 @@
+#include "papayabend/routing/Quarantine.h"
+
+#include <CppUTest/TestHarness.h>
+#include <utility>
+
+using namespace papayabend;
+using namespace papayabend::routing;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Quarantine)
+{
+    Quarantine host;
+    Quarantine other;
+    base::TimePoint now { 100s };
+};
+
+// Guards against a request that crashes upstream after upstream, also when the caller resends it to another host.
+TEST(Quarantine, SecondCrashQuarantinesOnAllHosts)
+{
+    CHECK(host.needsCanary(1, 5, now));
+    auto first = host.crashed(1, { 10, 100 }, false, now);
+    CHECK_FALSE(first.isQuarantined);
+    CHECK(other.received(first, now));
+    CHECK_FALSE(other.isQuarantined(1, now));
+    auto second = other.crashed(1, { 11, 101 }, false, now);
+    CHECK(second.isQuarantined);
+    CHECK(host.received(second, now));
+    CHECK(host.isQuarantined(1, now));
+    CHECK_FALSE(host.isQuarantined(1, now + 11min));
+}
+
+// Guards against counting one lost upstream once for each host that was connected to it.
+TEST(Quarantine, OneLostUpstreamCountsOnce)
+{
+    host.crashed(1, { 10, 100 }, false, now);
+    host.received(other.crashed(1, { 10, 100 }, false, now), now);
+    LONGS_EQUAL(1, host.crashes(1, now));
+    CHECK_FALSE(host.isQuarantined(1, now));
+}
+
+// Guards against a quarantine of a request that was only in flight on the same upstream.
+TEST(Quarantine, RequestThatRunsOnAnotherReplicaIsCleared)
+{
+    host.crashed(1, { 10, 100 }, false, now);
+    host.succeeded(1, 5, 100, now);
+    LONGS_EQUAL(0, host.crashes(1, now));
+    CHECK_FALSE(host.needsCanary(1, 5, now));
+    CHECK(host.needsCanary(1, 6, now));
+    // An answer of another shard says nothing of the shard that was lost.
+    host.crashed(2, { 10, 100 }, true, now);
+    host.succeeded(2, 5, 101, now);
+    LONGS_EQUAL(1, host.crashes(2, now));
+    CHECK_FALSE(host.crashed(2, { 11, 100 }, true, now).isQuarantined);
+    CHECK(host.crashed(2, { 12, 102 }, true, now).isQuarantined);
+}
+
+// Guards against two suspects that run together again, after which a second crash would hit the innocent one.
+TEST(Quarantine, SuspectsOfOneCrashTakeTurnsInTheSameOrderEverywhere)
+{
+    auto a = host.crashed(1, { 10, 100 }, false, now);
+    auto b = other.crashed(2, { 10, 100 }, false, now);
+    host.received(b, now);
+    other.received(a, now);
+    CHECK(host.turn(1, now) > now);
+    CHECK(host.turn(1, now) == other.turn(1, now));
+    CHECK(host.turn(2, now) - host.turn(1, now) >= 40ms);
+}
+
+// Guards against canary attempts that delay searches in a mode that switches them off.
+TEST(Quarantine, CanaryModes)
+{
+    CrashSettings settings;
+    settings.canary = CanaryMode::AfterCrash;
+    host.configure(settings);
+    CHECK_FALSE(host.needsCanary(1, 5, now));
+    host.crashed(2, { 10, 100 }, false, now);
+    CHECK(host.needsCanary(1, 5, now));
+    CHECK_FALSE(host.needsCanary(1, 5, now + 2min));
+    settings.canary = CanaryMode::Off;
+    host.configure(settings);
+    CHECK_FALSE(host.needsCanary(2, 5, now));
+}
