--- a/Source/papayabend/engine/PeerMessage.h
+++ b/Source/papayabend/engine/PeerMessage.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "papayabend/admission/Demand.h"
-#include "papayabend/dissemination/Digest.h"
+#include "papayabend/dissemination/StoredValue.h"
 #include "papayabend/execution/TicketRecord.h"
 #include "papayabend/membership/Observation.h"
 #include "papayabend/routing/QuarantineNotice.h"
@@ -12,25 +12,8 @@
 
 namespace papayabend::engine {
 
-/** \struct ValueDelta
- * \brief Changed rows of a published value, or the whole text if the receiver has no usable base.
- */
-struct ValueDelta {
-    std::string key;
-    uint64_t baseVersion { 0 }; /**< 0: \a text is the whole value. */
-    uint64_t version { 0 };
-    uint64_t contentHash { 0 }; /**< Hash of the whole value after the change. */
-    std::string text;
-};
-
-/** \struct ValueRequest
- * \brief Asks a peer for a value newer than the version that the sender has in force.
- */
-struct ValueRequest {
-    std::string key;
-    uint64_t haveVersion { 0 };
-    uint64_t haveContentHash { 0 };
-};
+using dissemination::ValueDelta;
+using dissemination::ValueRequest;
 
 /** \struct PeerMessage
  * \brief Control message between two hosts; sections without content are empty.
