engine: Pass searches and executions through admission and forward by ticket

Cause: the engine admitted every search at once and had no path for non-idempotent requests. Figures: before, no request of this kind could be sent. Conclusion: the paths are connected; faults over several hosts have not been measured yet.

--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -1,17 +1,33 @@
 #pragma once
 
 #include "papayabend/engine/Action.h"
+#include "papayabend/engine/AdmissionPath.h"
 #include "papayabend/engine/ControlPath.h"
+#include "papayabend/engine/ExecutionPath.h"
 #include "papayabend/engine/SearchPath.h"
 #include "papayabend/engine/SharedState.h"
 
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string_view>
+#include <variant>
 
 namespace papayabend::engine {
 
+/** \struct EngineSettings
+ * \brief Settings that are fixed when the process starts.
+ */
+struct EngineSettings {
+    admission::AdmissionSettings admission;
+    admission::QuotaSettings quotas;
+    execution::TicketSettings tickets;
+};
+
+/** A ticket with the time for which it can be used, or the reason for which none was issued. */
+using TicketReply = std::variant<execution::IssuedTicket, base::Refusal>;
+
 /** \class Engine
  * \brief Decisions of one host: takes events with the present time and returns the actions to perform.
  *
@@ -21,12 +37,17 @@
 class Engine {
 public:
     /** \a seed makes all random choices repeatable. */
-    explicit Engine(uint64_t seed, membership::HostIdentity identity = {});
+    explicit Engine(uint64_t seed, membership::HostIdentity identity = {}, const EngineSettings& settings = {});
 
     /** Returns a new request number. */
     routing::RequestId nextRequest();
 
     Actions submitSearch(query::SearchRequest, base::TimePoint now);
+    TicketReply issueTicket(std::string_view account, std::string_view service, base::TimePoint now);
+    /** Starts a non-idempotent request, or answers the question for the outcome of one. */
+    Actions submitExecution(execution::ExecutionRequest, base::TimePoint now);
+    /** Takes the reply to ForwardExecution. If the host could not be asked, it is a refusal with OutcomeUnknown. */
+    Actions forwardFinished(routing::RequestId, execution::ForwardReply, base::TimePoint now);
     Actions attemptFinished(const routing::AttemptResult&, base::TimePoint now);
     Actions timerExpired(routing::RequestId, base::TimePoint now);
 
@@ -46,10 +67,19 @@
     std::shared_ptr<const table::Table> table() const { return m_shared.table.load(); }
     std::shared_ptr<const membership::HostView> hostView() const { return m_shared.hostView.load(); }
     const membership::HostIdentity& identity() const { return m_shared.identity; }
+    admission::Admission& admission() { return m_admission.admission(); }
+    const execution::TicketBook& tickets() const { return m_executions.book(); }
 
 private:
+    Actions performSearch(Actions, base::TimePoint now);
+    Actions perform(ExecutionStep, base::TimePoint now);
+    Actions perform(PassedRequests, base::TimePoint now);
+    Actions endedRequests(std::span<const routing::RequestId>, base::TimePoint now);
+
     SharedState m_shared;
     SearchPath m_searches;
+    ExecutionPath m_executions;
+    AdmissionPath m_admission;
     ControlPath m_control;
     std::atomic<routing::RequestId> m_lastRequest { 0 };
 };
--- a/Source/papayabend/engine/ExecutionPath.cpp
+++ b/Source/papayabend/engine/ExecutionPath.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/engine/ExecutionPath.h"
 
 #include "papayabend/base/Hash.h"
+#include "papayabend/execution/HandOver.h"
 
 #include <algorithm>
 #include <utility>
@@ -46,14 +47,47 @@
 
 }
 
-ExecutionPath::ExecutionPath(SharedState& shared, std::string host, uint64_t incarnation,
-    const execution::TicketSettings& settings, Locate locate)
+ExecutionPath::ExecutionPath(SharedState& shared, const execution::TicketSettings& settings)
     : m_shared(shared)
-    , m_book(std::move(host), incarnation, settings)
-    , m_locate(std::move(locate))
+    , m_book(shared.identity.name, shared.identity.incarnation, settings)
+    , m_ticketValidity(settings.validity)
 {
 }
 
+std::variant<execution::IssuedTicket, base::Refusal> ExecutionPath::issueTicket(
+    std::string_view account, std::string_view service, base::TimePoint now)
+{
+    auto refuse = [](RefusalCode code, std::string detail, std::optional<base::Duration> retryAfter = {}) {
+        return base::Refusal { code, Verdict::NotRun, std::move(detail), retryAfter };
+    };
+    auto table = m_shared.table.load();
+    auto catalog = m_shared.catalog.load();
+    const auto* known = catalog::findService(*catalog, service);
+    if (!known || known->kind != catalog::ServiceKind::Pooled)
+        return refuse(RefusalCode::UnknownService, "no pooled service " + std::string(service));
+    if (!table::findRow(*table, account))
+        return refuse(RefusalCode::UnknownAccount, "the table names no account " + std::string(account));
+    if (!table::findGrant(*table, account, service))
+        return refuse(RefusalCode::AccessDenied, "the table gives no access");
+    auto id = m_book.issueTicket(account, service, now);
+    if (!id)
+        return refuse(RefusalCode::Overloaded, "the host keeps no more tickets", std::chrono::seconds(1));
+    return execution::IssuedTicket { toString(*id), m_ticketValidity };
+}
+
+std::vector<std::string> ExecutionPath::locate(const execution::TicketId& ticket) const
+{
+    auto view = m_shared.hostView.load();
+    auto hosts = execution::successors(*view, ticket, execution::successorsAsked);
+    std::erase(hosts, m_shared.identity.name);
+    const auto* issuer = membership::findHost(*view, ticket.host);
+    bool canAsk = issuer && issuer->incarnation == ticket.incarnation && issuer->state != membership::HostState::Gone
+        && issuer->state != membership::HostState::Suspected && ticket.host != m_shared.identity.name;
+    if (canAsk)
+        hosts.insert(hosts.begin(), ticket.host);
+    return hosts;
+}
+
 ExecutionStep ExecutionPath::start(execution::ExecutionRequest request, base::TimePoint now)
 {
     ExecutionStep step;
@@ -128,7 +162,7 @@
     auto id = request.id;
     auto running = std::make_shared<Running>();
     if (!request.isForwarded)
-        running->forwardTargets = m_locate(ticket);
+        running->forwardTargets = locate(ticket);
     std::ranges::reverse(running->forwardTargets);
     running->ticket = ticket;
     running->phase = Phase::Forwarded;
@@ -295,10 +329,4 @@
     return step;
 }
 
-bool ExecutionPath::isRunning(routing::RequestId id) const
-{
-    Requests::const_accessor accessor;
-    return m_requests.find(accessor, id);
-}
-
 }
--- a/Source/papayabend/engine/ExecutionPath.h
+++ b/Source/papayabend/engine/ExecutionPath.h
@@ -5,11 +5,10 @@
 #include "papayabend/engine/SharedState.h"
 #include "papayabend/execution/TicketBook.h"
 
-#include <functional>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <tbb/concurrent_hash_map.h>
 #include <variant>
 #include <vector>
@@ -30,12 +29,13 @@
  */
 class ExecutionPath {
 public:
-    /** Names the hosts that may know a ticket of another process, the most likely one first. */
-    using Locate = std::function<std::vector<std::string>(const execution::TicketId&)>;
+    ExecutionPath(SharedState&, const execution::TicketSettings&);
 
-    ExecutionPath(SharedState&, std::string host, uint64_t incarnation, const execution::TicketSettings&, Locate);
+    const execution::TicketBook& book() const { return m_book; }
 
-    execution::TicketBook& book() { return m_book; }
+    /** Issues a ticket to an account that the table grants the service. */
+    std::variant<execution::IssuedTicket, base::Refusal> issueTicket(
+        std::string_view account, std::string_view service, base::TimePoint now);
 
     ExecutionStep start(execution::ExecutionRequest, base::TimePoint now);
 
@@ -51,7 +51,7 @@
     /** Takes the reply of the host that a request was forwarded to. */
     ExecutionStep forwardFinished(routing::RequestId, execution::ForwardReply, base::TimePoint now);
 
-    bool isRunning(routing::RequestId) const;
+    void expire(base::TimePoint now) { m_book.expire(now); }
 
 private:
     enum class Phase : uint8_t { Queued, InFlight, WaitsForOther, Forwarded };
@@ -70,6 +70,8 @@
 
     ExecutionStep answerQuery(const execution::ExecutionRequest&, const execution::TicketId&);
     ExecutionStep forward(execution::ExecutionRequest, const execution::TicketId&);
+    /** Names the hosts that may know a ticket of another process, the most likely one first. */
+    std::vector<std::string> locate(const execution::TicketId&) const;
     bool forwardNext(Running&, Actions&);
     bool send(Running&, base::TimePoint now, Actions&);
     void settle(Requests::accessor&, base::Verdict, base::RefusalCode, std::string body, base::TimePoint now,
@@ -77,7 +79,7 @@
 
     SharedState& m_shared;
     execution::TicketBook m_book;
-    Locate m_locate;
+    base::Duration m_ticketValidity;
     Requests m_requests;
 };
 
--- a/Source/papayabend/engine/PeerMessage.h
+++ b/Source/papayabend/engine/PeerMessage.h
@@ -44,9 +44,13 @@
     std::vector<ValueDelta> deltas;
     std::vector<membership::HostObservation> hosts;
     std::vector<admission::DemandReport> demand;
+    uint64_t demandSequence { 0 }; /**< Number of the sender's demand report; 0: the message holds none. */
+    bool countsReceiver { false }; /**< The sender's portions of limits leave room for the receiver's. */
     std::vector<admission::QuotaLease> leases;
     std::vector<routing::QuarantineNotice> quarantine;
     std::vector<execution::TicketRecord> ticketRecords;
+    uint64_t handOver { 0 }; /**< Number of the batch in ticketRecords, to be acknowledged; 0: none. */
+    uint64_t handOverAck { 0 }; /**< Batch that the sender has taken over; 0: none. */
 };
 
 }
--- a/Source/papayabend/execution/Execution.h
+++ b/Source/papayabend/execution/Execution.h
@@ -33,6 +33,14 @@
     bool isForwarded { false }; /**< Received from another host; it is not forwarded again. */
 };
 
+/** \struct IssuedTicket
+ * \brief A new ticket in its text form.
+ */
+struct IssuedTicket {
+    std::string ticket;
+    base::Duration validity {}; /**< From issue to the latest first use. */
+};
+
 /** \struct ExecutionAnswer
  * \brief Answer of the upstream that ran the request.
  */
--- a/Source/papayabend/transport/HttpEntry.cpp
+++ b/Source/papayabend/transport/HttpEntry.cpp
@@ -1,5 +1,7 @@
 #include "papayabend/transport/HttpEntry.h"
 
+#include "papayabend/transport/HttpExecution.h"
+
 #include <algorithm>
 #include <future>
 #include <httplib.h>
@@ -99,6 +101,7 @@
     server.set_payload_max_length(maxBodyBytes);
     server.Post("/v1/search",
         [this](const httplib::Request& request, httplib::Response& response) { m_impl->search(request, response); });
+    addExecutionRoutes(server, engine, shell);
     server.Get("/healthz",
         [](const httplib::Request&, httplib::Response& response) { response.set_content("ok\n", "text/plain"); });
 }
--- a/Source/papayabend/transport/PeerClient.cpp
+++ b/Source/papayabend/transport/PeerClient.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/transport/PeerClient.h"
 
+#include "papayabend/transport/ForwardCodec.h"
 #include "papayabend/transport/PeerCodec.h"
 
 #include "peer.grpc.pb.h"
@@ -25,6 +26,15 @@
         protocol::PeerReceipt receipt;
     };
 
+    // The asked host replies at the caller's deadline; the reply travels a little longer.
+    constexpr std::chrono::milliseconds replyGrace { 200 };
+
+    struct ForwardedCall {
+        grpc::ClientContext context;
+        protocol::ForwardCall call;
+        protocol::ForwardReply reply;
+    };
+
     std::shared_ptr<protocol::Peer::Stub> connect(const std::string& address)
     {
         grpc::ChannelArguments arguments;
@@ -77,4 +87,22 @@
     stub->async()->Exchange(&call->context, &call->envelope, &call->receipt, [call, stub](const grpc::Status&) {});
 }
 
+void PeerClient::forward(const std::string& peerAddress, const execution::ExecutionRequest& request,
+    std::function<void(execution::ForwardReply)> done)
+{
+    auto call = std::make_shared<ForwardedCall>();
+    auto now = base::BootClock::now();
+    call->call = toForwardCall(request, now);
+    auto timeLeft = std::max(request.deadline - now, base::Duration::zero());
+    call->context.set_deadline(std::chrono::system_clock::now() + timeLeft + replyGrace);
+    auto stub = m_impl->stub(peerAddress);
+    stub->async()->Forward(&call->context, &call->call, &call->reply,
+        [call, stub, ticket = request.ticket, done = std::move(done)](const grpc::Status& status) {
+            if (status.ok())
+                done(fromForwardReply(call->reply, ticket));
+            else
+                done(unreachableHost("the host that issued the ticket did not reply: " + status.error_message()));
+        });
+}
+
 }
--- a/Source/papayabend/transport/PeerClient.h
+++ b/Source/papayabend/transport/PeerClient.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "papayabend/engine/PeerMessage.h"
+#include "papayabend/execution/Execution.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -20,6 +22,10 @@
     /** Sends \a message without waiting. A message that cannot be delivered within a second is dropped. */
     void send(const std::string& peerAddress, const engine::PeerMessage& message);
 
+    /** Passes a request to another host once; \a done is called once, on a thread of the library. */
+    void forward(const std::string& peerAddress, const execution::ExecutionRequest&,
+        std::function<void(execution::ForwardReply)> done);
+
 private:
     struct Impl;
     std::shared_ptr<Impl> m_impl;
--- a/Source/papayabend/transport/PeerCodec.cpp
+++ b/Source/papayabend/transport/PeerCodec.cpp
@@ -122,11 +122,13 @@
         wire.set_arrivals_per_second(it.arrivalsPerSecond);
         wire.set_served_per_second(it.servedPerSecond);
         wire.set_backlog(it.backlog);
+        wire.set_service_time_us(it.serviceTimeUs);
     }
 
     DemandReport decode(const protocol::DemandReport& wire)
     {
-        return { wire.account(), wire.service(), wire.arrivals_per_second(), wire.served_per_second(), wire.backlog() };
+        return { wire.account(), wire.service(), wire.arrivals_per_second(), wire.served_per_second(), wire.backlog(),
+            wire.service_time_us() };
     }
 
     void encode(const QuotaLease& it, protocol::QuotaLease& wire)
@@ -138,12 +140,13 @@
         wire.set_service(it.service);
         wire.set_requests_per_second(it.requestsPerSecond);
         wire.set_validity_us(it.validityUs);
+        wire.set_basis(it.basis);
     }
 
     QuotaLease decode(const protocol::QuotaLease& wire)
     {
         return { wire.id(), wire.lender(), wire.borrower(), wire.account(), wire.service(), wire.requests_per_second(),
-            wire.validity_us() };
+            wire.validity_us(), wire.basis() };
     }
 
     void encode(const QuarantineNotice& it, protocol::QuarantineNotice& wire)
@@ -169,12 +172,13 @@
         wire.set_state(static_cast<protocol::TicketState>(it.state));
         wire.set_verdict(toWire(it.verdict));
         wire.set_body(it.body);
+        wire.set_fingerprint(it.fingerprint);
     }
 
     TicketRecord decode(const protocol::TicketRecord& wire)
     {
         return { { wire.host(), wire.incarnation(), wire.sequence() }, wire.account(), wire.service(),
-            ticketStateOf(wire.state()), verdictOf(wire.verdict()), wire.body() };
+            ticketStateOf(wire.state()), verdictOf(wire.verdict()), wire.body(), wire.fingerprint() };
     }
 
     template <typename Items, typename Wire> void encodeAll(const Items& items, Wire* wire)
@@ -204,6 +208,10 @@
     encodeAll(message.leases, envelope.mutable_leases());
     encodeAll(message.quarantine, envelope.mutable_quarantine());
     encodeAll(message.ticketRecords, envelope.mutable_ticket_records());
+    envelope.set_demand_sequence(message.demandSequence);
+    envelope.set_counts_receiver(message.countsReceiver);
+    envelope.set_hand_over(message.handOver);
+    envelope.set_hand_over_ack(message.handOverAck);
     return envelope;
 }
 
@@ -221,6 +229,10 @@
     decodeAll(envelope.leases(), message.leases);
     decodeAll(envelope.quarantine(), message.quarantine);
     decodeAll(envelope.ticket_records(), message.ticketRecords);
+    message.demandSequence = envelope.demand_sequence();
+    message.countsReceiver = envelope.counts_receiver();
+    message.handOver = envelope.hand_over();
+    message.handOverAck = envelope.hand_over_ack();
     return message;
 }
 
--- a/Source/papayabend/transport/PeerServer.cpp
+++ b/Source/papayabend/transport/PeerServer.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/transport/PeerServer.h"
 
+#include "papayabend/transport/ForwardCodec.h"
 #include "papayabend/transport/PeerCodec.h"
 
 #include "peer.grpc.pb.h"
@@ -29,6 +30,18 @@
             return reactor;
         }
 
+        grpc::ServerUnaryReactor* Forward(grpc::CallbackServerContext* context, const protocol::ForwardCall* call,
+            protocol::ForwardReply* reply) override
+        {
+            auto* reactor = context->DefaultReactor();
+            m_handlers.forward(fromForwardCall(*call, base::BootClock::now()),
+                [reactor, reply](const execution::ForwardReply& outcome) {
+                    *reply = toForwardReply(outcome);
+                    reactor->Finish(grpc::Status::OK);
+                });
+            return reactor;
+        }
+
     private:
         PeerServer::Handlers& m_handlers;
     };
--- a/Source/papayabend/transport/PeerServer.h
+++ b/Source/papayabend/transport/PeerServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayabend/engine/PeerMessage.h"
+#include "papayabend/execution/Execution.h"
 
 #include <functional>
 #include <memory>
@@ -18,6 +19,8 @@
     /** Functions that are called on threads of the library, several at a time. */
     struct Handlers {
         std::function<void(const engine::PeerMessage&)> exchange;
+        /** The second argument takes the reply, on any thread. */
+        std::function<void(execution::ExecutionRequest, std::function<void(execution::ForwardReply)>)> forward;
     };
 
     explicit PeerServer(Handlers);
--- a/Source/papayabend/transport/Shell.cpp
+++ b/Source/papayabend/transport/Shell.cpp
@@ -1,5 +1,7 @@
 #include "papayabend/transport/Shell.h"
 
+#include "papayabend/transport/ForwardCodec.h"
+
 #include <spdlog/spdlog.h>
 
 namespace papayabend::transport {
@@ -19,9 +21,13 @@
           [this](const std::string& key, engine::ReadStatus status, const std::string& text) {
               readEnded(key, status, text);
           })
-    , m_peerServer({ .exchange = [this](const engine::PeerMessage& message) {
-        perform(m_engine.peerMessage(message, base::BootClock::now()));
-    } })
+    , m_peerServer({ .exchange
+          = [this](
+                const engine::PeerMessage& message) { perform(m_engine.peerMessage(message, base::BootClock::now())); },
+          .forward =
+              [this](execution::ExecutionRequest request, std::function<void(execution::ForwardReply)> done) {
+                  forwarded(std::move(request), std::move(done));
+              } })
 {
 }
 
@@ -55,6 +61,12 @@
     perform(m_engine.submitSearch(std::move(request), base::BootClock::now()));
 }
 
+void Shell::execute(execution::ExecutionRequest request, ReplyHandler handler)
+{
+    m_handlers.insert({ request.id, std::move(handler) });
+    perform(m_engine.submitExecution(std::move(request), base::BootClock::now()));
+}
+
 void Shell::perform(engine::Actions actions)
 {
     for (auto& action : actions)
@@ -73,9 +85,30 @@
 
 void Shell::perform(engine::ForwardExecution& action)
 {
-    reply(action.request.id,
-        base::Refusal {
-            base::RefusalCode::OutcomeUnknown, base::Verdict::MayHaveRun, "no connection between hosts", {} });
+    auto finished = [this, id = action.request.id](execution::ForwardReply reply) {
+        perform(m_engine.forwardFinished(id, std::move(reply), base::BootClock::now()));
+    };
+    auto view = m_engine.hostView();
+    const auto* host = membership::findHost(*view, action.host);
+    if (host)
+        m_peers.forward(host->peerAddress, action.request, finished);
+    else
+        finished(unreachableHost("host " + action.host + " is not known any more"));
+}
+
+void Shell::forwarded(execution::ExecutionRequest request, std::function<void(execution::ForwardReply)> done)
+{
+    request.id = m_engine.nextRequest();
+    execute(std::move(request), [done = std::move(done)](Reply reply) {
+        if (auto* answer = std::get_if<execution::ExecutionAnswer>(&reply))
+            done(std::move(*answer));
+        else if (auto* outcome = std::get_if<execution::OutcomeAnswer>(&reply))
+            done(std::move(*outcome));
+        else if (auto* refusal = std::get_if<base::Refusal>(&reply))
+            done(std::move(*refusal));
+        else
+            done(unreachableHost("reply of another kind"));
+    });
 }
 
 void Shell::perform(engine::ReplyRefusal& action) { reply(action.request, std::move(action.refusal)); }
--- a/Source/papayabend/transport/Shell.h
+++ b/Source/papayabend/transport/Shell.h
@@ -34,6 +34,8 @@
 
     /** Starts a search; \a handler is called once, on any thread. */
     void search(query::SearchRequest, ReplyHandler handler);
+    /** Starts a non-idempotent request; \a handler is called once, on any thread. */
+    void execute(execution::ExecutionRequest, ReplyHandler handler);
     void perform(engine::Actions);
 
 private:
@@ -49,6 +51,7 @@
     void perform(engine::ReadPlatform&);
     void perform(engine::StateChange&);
     void reply(routing::RequestId, Reply);
+    void forwarded(execution::ExecutionRequest, std::function<void(execution::ForwardReply)> done);
     void readEnded(const std::string& key, engine::ReadStatus, const std::string& text);
     void tick();
 
