engine: Send quarantine notices to the hosts of the serving set

Cause: searches queued notices of requests that crash upstreams, but nothing passed them on, executions reported no crashes, and the wire format dropped the lost upstream, so hosts counted the same crash twice. Change: QuarantineExchange sends each notice to the serving set at once and repeats it twice; executions count lost connections and are refused as not run once quarantined; the wire format carries all fields; the number of hosts that share an upstream follows the host view. Conclusion: a resend through another host finds the fingerprint known after one message delay.

--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -21,6 +21,7 @@
     , m_executions(m_shared, settings.tickets)
     , m_admission(m_shared, settings.admission, settings.quotas)
     , m_control(m_shared)
+    , m_quarantine(m_shared)
 {
 }
 
@@ -30,20 +31,6 @@
     m_shared.upstreams.configure(std::move(settings));
 }
 
-void Engine::quarantineNotice(const routing::QuarantineNotice& notice, base::TimePoint now)
-{
-    m_shared.routing.quarantine.received(notice, now);
-}
-
-std::vector<routing::QuarantineNotice> Engine::takeQuarantineNotices()
-{
-    std::vector<routing::QuarantineNotice> notices;
-    routing::QuarantineNotice notice;
-    while (m_shared.quarantineNotices.try_pop(notice))
-        notices.push_back(notice);
-    return notices;
-}
-
 routing::RequestId Engine::nextRequest() { return ++m_lastRequest; }
 
 Actions Engine::submitSearch(query::SearchRequest request, base::TimePoint now)
@@ -152,6 +139,7 @@
     m_admission.attemptFinished(result);
     auto actions = perform(m_executions.attemptFinished(result, now), now);
     append(actions, performSearch(m_searches.attemptFinished(result, now), now));
+    append(actions, m_quarantine.announce(now));
     return actions;
 }
 
@@ -183,6 +171,7 @@
 
 Actions Engine::peerMessage(const PeerMessage& message, base::TimePoint now)
 {
+    m_quarantine.received(message.quarantine, now);
     auto actions = m_control.peerMessage(message, now);
     append(actions, perform(m_admission.refresh(now), now));
     append(actions, perform(m_admission.peerMessage(message, now), now));
@@ -194,6 +183,8 @@
     auto actions = m_control.tick(now);
     m_executions.expire(now);
     append(actions, perform(m_admission.tick(now), now));
+    append(actions, m_quarantine.tick(now));
+    m_shared.upstreams.setServingHosts(static_cast<uint32_t>(m_shared.hostView.load()->hosts.size()));
     return actions;
 }
 
--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -4,6 +4,7 @@
 #include "papayabend/engine/AdmissionPath.h"
 #include "papayabend/engine/ControlPath.h"
 #include "papayabend/engine/ExecutionPath.h"
+#include "papayabend/engine/QuarantineExchange.h"
 #include "papayabend/engine/SearchPath.h"
 #include "papayabend/engine/SharedState.h"
 
@@ -43,15 +44,6 @@
     /** Replaces the routing settings; called before the first request. */
     void configureRouting(routing::RoutingSettings);
 
-    /** Sets the number of hosts that share the connections of an upstream. */
-    void setServingHosts(uint32_t count) { m_shared.upstreams.setServingHosts(count); }
-
-    /** Takes a notice of another host. */
-    void quarantineNotice(const routing::QuarantineNotice&, base::TimePoint now);
-
-    /** Returns the notices to send to all other hosts of the serving set, and forgets them. */
-    std::vector<routing::QuarantineNotice> takeQuarantineNotices();
-
     /** Returns a new request number. */
     routing::RequestId nextRequest();
 
@@ -94,6 +86,7 @@
     ExecutionPath m_executions;
     AdmissionPath m_admission;
     ControlPath m_control;
+    QuarantineExchange m_quarantine;
     std::atomic<routing::RequestId> m_lastRequest { 0 };
 };
 
--- a/Source/papayabend/engine/ExecutionPath.cpp
+++ b/Source/papayabend/engine/ExecutionPath.cpp
@@ -24,6 +24,11 @@
 
     uint64_t fingerprintOf(std::string_view body) { return std::max<uint64_t>(base::hash(body), 1); }
 
+    uint64_t quarantineKey(const execution::ExecutionRequest& request)
+    {
+        return routing::fingerprintOf(request.account, request.service, request.body);
+    }
+
     Action refusal(routing::RequestId id, RefusalCode code, Verdict verdict, std::string detail,
         std::optional<base::Duration> retryAfter = {})
     {
@@ -117,6 +122,11 @@
     auto begun = m_book.beginExecution({ *ticket, id, held.account, held.service, fingerprintOf(held.body) }, now);
     switch (begun.kind) {
     case BeginKind::Start:
+        if (m_shared.routing.quarantine.isQuarantined(quarantineKey(held), now)) {
+            settle(accessor, Verdict::NotRun, RefusalCode::Quarantined, {}, now, {}, step);
+            step.ended.clear();
+            return step;
+        }
         step.wantsAdmission = true;
         break;
     case BeginKind::Wait:
@@ -294,6 +304,10 @@
     running.openAttempt = 0;
     auto verdict = routing::verdictOf(result.status);
     m_book.attemptFinished(running.ticket, verdict);
+    if (result.status == routing::AttemptStatus::ConnectionLost)
+        reportCrash(running.request, result.upstream, now);
+    else if (verdict == Verdict::Ran)
+        m_shared.routing.quarantine.succeeded(quarantineKey(running.request), 0, 0, now);
     if (verdict == Verdict::NotRun) {
         if (running.tried.size() < maxAttempts && send(running, now, step.actions))
             return step;
@@ -306,6 +320,15 @@
     return step;
 }
 
+void ExecutionPath::reportCrash(
+    const execution::ExecutionRequest& request, catalog::UpstreamId upstream, base::TimePoint now)
+{
+    // A crash counts against the request even if its caller obtains another ticket for the same content.
+    routing::Crash crash { base::hash(m_shared.upstreamNames.name(upstream)), 0 };
+    auto notice = m_shared.routing.quarantine.crashed(quarantineKey(request), crash, false, now);
+    m_shared.quarantineNotices.push({ request.service, notice });
+}
+
 ExecutionStep ExecutionPath::timerExpired(routing::RequestId id, base::TimePoint now)
 {
     ExecutionStep step;
--- a/Source/papayabend/engine/ExecutionPath.h
+++ b/Source/papayabend/engine/ExecutionPath.h
@@ -77,6 +77,8 @@
     void settle(Requests::accessor&, base::Verdict, base::RefusalCode, std::string body, base::TimePoint now,
         std::optional<base::Duration> retryAfter, ExecutionStep&);
 
+    void reportCrash(const execution::ExecutionRequest&, catalog::UpstreamId, base::TimePoint now);
+
     SharedState& m_shared;
     execution::TicketBook m_book;
     base::Duration m_ticketValidity;
--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -33,7 +33,7 @@
     for (auto attempt : step.cancel)
         actions.emplace_back(CancelAttempt { attempt });
     for (const auto& notice : step.notices)
-        m_shared.quarantineNotices.push(notice);
+        m_shared.quarantineNotices.push({ accessor->second->search.request.service, notice });
     waitFor(step.waitFor, id);
     for (auto& attempt : step.send)
         actions.emplace_back(SendAttempt { std::move(attempt) });
--- /dev/null
+++ b/Source/papayabend/engine/ServingHosts.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "papayabend/engine/SharedState.h"
+
+#include <string_view>
+#include <vector>
+
+namespace papayabend::engine {
+
+/**
+ * Returns the hosts that serve a service, sorted by name: all hosts of the view while they are few, else the serving
+ * set that the connection limits of the service's upstreams allow. Empty for an unknown service.
+ */
+std::vector<membership::HostObservation> servingHosts(const SharedState&, std::string_view service);
+
+}
--- a/Source/papayabend/engine/SharedState.h
+++ b/Source/papayabend/engine/SharedState.h
@@ -11,11 +11,20 @@
 #include "papayabend/table/Table.h"
 
 #include <cstdint>
-#include <utility>
+#include <string>
 #include <tbb/concurrent_queue.h>
+#include <utility>
 
 namespace papayabend::engine {
 
+/** \struct PendingNotice
+ * \brief Quarantine notice that the hosts which serve a service have yet to learn of.
+ */
+struct PendingNotice {
+    std::string service;
+    routing::QuarantineNotice notice;
+};
+
 /** \struct SharedState
  * \brief State that the request paths read and the control path replaces.
  */
@@ -35,7 +44,7 @@
     catalog::UpstreamNames upstreamNames;
     routing::UpstreamTable upstreams;
     routing::RoutingState routing;
-    tbb::concurrent_queue<routing::QuarantineNotice> quarantineNotices; /**< For the serving set, at once. */
+    tbb::concurrent_queue<PendingNotice> quarantineNotices; /**< For the serving set, at once. */
 };
 
 }
--- a/Source/papayabend/transport/PeerCodec.cpp
+++ b/Source/papayabend/transport/PeerCodec.cpp
@@ -155,11 +155,14 @@
         wire.set_crashes(it.crashes);
         wire.set_quarantined(it.isQuarantined);
         wire.set_validity_us(it.validityUs);
+        wire.set_lost_upstream(it.lostUpstream);
+        wire.set_shard(it.shard);
     }
 
     QuarantineNotice decode(const protocol::QuarantineNotice& wire)
     {
-        return { wire.fingerprint(), wire.crashes(), wire.quarantined(), wire.validity_us() };
+        return { wire.fingerprint(), wire.crashes(), wire.quarantined(), wire.validity_us(), wire.lost_upstream(),
+            wire.shard() };
     }
 
     void encode(const TicketRecord& it, protocol::TicketRecord& wire)
--- /dev/null
+++ b/Tests/engine/QuarantineExchangeTest.cpp
@@ -0,0 +1,86 @@
+#include "papayabend/engine/QuarantineExchange.h"
+
+#include "papayabend/engine/ServingHosts.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <set>
+
+using namespace papayabend;
+using namespace std::chrono_literals;
+
+TEST_GROUP(QuarantineExchange)
+{
+    engine::SharedState shared { 1, { .name = "h0" } };
+    engine::QuarantineExchange exchange { shared };
+    base::TimePoint now { 1h };
+
+    void publish(size_t hosts, uint32_t connectionLimit)
+    {
+        membership::HostView view;
+        for (size_t n = 0; n < hosts; ++n) {
+            auto name = "h" + std::to_string(n);
+            view.hosts.push_back({ .name = name,
+                .peerAddress = "peer-" + name,
+                .failureDomain = n % 2 ? "seeb" : "ruwi",
+                .state = membership::HostState::Serving });
+        }
+        std::ranges::sort(view.hosts, {}, &membership::HostObservation::name);
+        shared.hostView.publish(std::make_shared<const membership::HostView>(view));
+        catalog::Catalog catalog { .version = 1 };
+        auto id = shared.upstreamNames.intern("u0");
+        catalog.upstreams.push_back({ .id = id, .name = "u0", .connectionLimit = connectionLimit });
+        catalog.services.push_back({ "faturas", catalog::ServiceKind::Pooled, {}, { id } });
+        shared.catalog.publish(std::make_shared<const catalog::Catalog>(catalog));
+    }
+
+    std::multiset<std::string> receivers(const engine::Actions& actions)
+    {
+        std::multiset<std::string> addresses;
+        for (const auto& action : actions) {
+            const auto& message = std::get<engine::SendPeerMessage>(action);
+            LONGS_EQUAL(7, message.message.quarantine.at(0).fingerprint);
+            addresses.insert(message.peerAddress);
+        }
+        return addresses;
+    }
+};
+
+// Guards against a resend through another host that has not heard of the crash.
+TEST(QuarantineExchange, ANoticeGoesToEveryOtherHostAtOnce)
+{
+    publish(4, 25);
+    shared.quarantineNotices.push({ "faturas", { .fingerprint = 7, .crashes = 1 } });
+    CHECK((receivers(exchange.announce(now)) == std::multiset<std::string> { "peer-h1", "peer-h2", "peer-h3" }));
+    CHECK(exchange.announce(now).empty());
+}
+
+// Guards against a notice that is lost with one message, and against repeats that never end.
+TEST(QuarantineExchange, ANoticeIsRepeatedTwice)
+{
+    publish(2, 25);
+    shared.quarantineNotices.push({ "faturas", { .fingerprint = 7, .crashes = 1 } });
+    exchange.announce(now);
+    LONGS_EQUAL(0, exchange.tick(now + 500ms).size());
+    LONGS_EQUAL(1, exchange.tick(now + 1s).size());
+    LONGS_EQUAL(1, exchange.tick(now + 2s).size());
+    LONGS_EQUAL(0, exchange.tick(now + 1h).size());
+}
+
+// Guards against notices to all hosts of a large fleet, whose cost would grow with the fleet.
+TEST(QuarantineExchange, ANoticeStaysInTheServingSet)
+{
+    publish(400, 25);
+    LONGS_EQUAL(22, engine::servingHosts(shared, "faturas").size());
+    shared.quarantineNotices.push({ "faturas", { .fingerprint = 7, .crashes = 1 } });
+    CHECK(receivers(exchange.announce(now)).size() <= 22);
+    CHECK(engine::servingHosts(shared, "unknown").empty());
+}
+
+// Guards against a host that ignores what another host has found out.
+TEST(QuarantineExchange, AReceivedQuarantineIsInForce)
+{
+    exchange.received({ { .fingerprint = 7, .crashes = 2, .isQuarantined = true, .validityUs = 1'000'000 } }, now);
+    CHECK(shared.routing.quarantine.isQuarantined(7, now + 500ms));
+    CHECK_FALSE(shared.routing.quarantine.isQuarantined(8, now));
+}
