membership: Pass the newest rumors on first and test the control modules

A message with the sender's own, older heartbeat no longer leads to a correction, because messages composed from the published view carry one.

--- a/Source/papayabend/membership/Members.cpp
+++ b/Source/papayabend/membership/Members.cpp
@@ -17,15 +17,19 @@
 
     constexpr size_t readersPerDomain = 2;
 
-    // With three times log2 of the fleet size, a rumor misses a host with negligible probability.
     void spread(Members& members, std::string_view name)
     {
-        auto messages = 3 * static_cast<unsigned>(std::bit_width(members.others.size() + 1));
         auto it = std::ranges::find(members.rumors, name, &Rumor::name);
         if (it == members.rumors.end())
-            members.rumors.push_back({ std::string(name), messages });
+            members.rumors.push_back({ std::string(name), 0 });
         else
-            it->messagesLeft = messages;
+            it->messages = 0;
+    }
+
+    // With three times log2 of the fleet size, a rumor misses a host with negligible probability.
+    unsigned messagesPerRumor(const Members& members)
+    {
+        return 3 * static_cast<unsigned>(std::bit_width(members.others.size() + 1));
     }
 
     // A suspicion is newer than the heartbeat it refers to; any later heartbeat ends it.
@@ -145,11 +149,13 @@
     auto& member = position->second;
     auto& seen = member.seen;
     if (ageOf(it) <= ageOf(seen)) {
-        // A process answers with its own, unchanged heartbeat within one period.
-        if (isDirect && it.incarnation == seen.incarnation && it.heartbeat == seen.heartbeat
-            && seen.state != HostState::Suspected) {
-            member.unanswered.reset();
-            member.heard = now;
+        // Messages of one period, and such as were composed from the view, carry no newer heartbeat.
+        if (isDirect && it.incarnation == seen.incarnation) {
+            if (seen.state != HostState::Suspected) {
+                member.unanswered.reset();
+                member.heard = now;
+            }
+            return News::Known;
         }
         return ageOf(it) < ageOf(seen) ? News::Older : News::Known;
     }
@@ -222,17 +228,17 @@
 {
     auto& rumors = members.rumors;
     auto count = std::min(maxObservations, rumors.size());
-    std::ranges::partial_sort(
-        rumors, rumors.begin() + static_cast<ptrdiff_t>(count), std::greater {}, &Rumor::messagesLeft);
+    // The newest rumors come first.
+    std::ranges::partial_sort(rumors, rumors.begin() + static_cast<ptrdiff_t>(count), {}, &Rumor::messages);
     std::vector<HostObservation> observations;
     for (size_t n = 0; n < count; ++n) {
-        --rumors[n].messagesLeft;
+        ++rumors[n].messages;
         if (rumors[n].name == members.self.name)
             observations.push_back(members.self);
         else if (auto it = members.others.find(rumors[n].name); it != members.others.end())
             observations.push_back(it->second.seen);
     }
-    std::erase_if(rumors, [](const Rumor& it) { return it.messagesLeft == 0; });
+    std::erase_if(rumors, [most = messagesPerRumor(members)](const Rumor& it) { return it.messages >= most; });
     return observations;
 }
 
--- a/Source/papayabend/membership/Members.h
+++ b/Source/papayabend/membership/Members.h
@@ -50,7 +50,7 @@
  */
 struct Rumor {
     std::string name;
-    unsigned messagesLeft { 0 };
+    unsigned messages { 0 }; /**< That carried it so far. */
 };
 
 /** \struct Members
--- a/Source/replay/Scenario.cpp
+++ b/Source/replay/Scenario.cpp
@@ -13,6 +13,12 @@
         { "tail", "latency, coverage and extra attempts with stragglers, both deployments", measureTail },
         { "replica-loss", "complete answers with one replica of every shard lost", measureReplicaLoss },
         { "goodput", "complete answers in time at 0.5, 1, 2 and 3 times capacity", measureGoodput },
+        { "control-cost", "control traffic and processor time of a host against fleet size", measureControlCost },
+        { "control-spread", "time until a table change is in force on all hosts", measureControlSpread },
+        { "control-restart", "platform reads and recovery when all hosts or one host start empty",
+            measureControlRestart },
+        { "control-outage", "platform reads after an outage of the platform and a healed partition",
+            measureControlOutage },
     };
     return all;
 }
--- a/Source/replay/Scenario.h
+++ b/Source/replay/Scenario.h
@@ -67,5 +67,9 @@
 Figures measureTail(const MeasureOptions&);
 Figures measureReplicaLoss(const MeasureOptions&);
 Figures measureGoodput(const MeasureOptions&);
+Figures measureControlCost(const MeasureOptions&);
+Figures measureControlSpread(const MeasureOptions&);
+Figures measureControlRestart(const MeasureOptions&);
+Figures measureControlOutage(const MeasureOptions&);
 
 }
--- /dev/null
+++ b/Tests/membership/PauseDetectorTest.cpp
@@ -0,0 +1,35 @@
+#include "papayabend/membership/PauseDetector.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace std::chrono_literals;
+
+TEST_GROUP(PauseDetector)
+{
+    membership::PauseDetector detector;
+    base::TimePoint start { 1000s };
+};
+
+// Guards against ordinary delays of the loop being taken for pauses, and pauses for ordinary delays.
+TEST(PauseDetector, OnlyGapsAboveOneSecondArePauses)
+{
+    CHECK_FALSE(detector.pass(start));
+    CHECK_FALSE(detector.pass(start + 1s));
+    CHECK_FALSE(detector.isStale());
+    CHECK(detector.pass(start + 2001ms));
+    CHECK(detector.isStale());
+    LONGS_EQUAL(1, detector.pauses());
+    detector.refreshed();
+    CHECK_FALSE(detector.isStale());
+}
+
+// Guards against a thread that read the clock before the pause hiding the gap from the others.
+TEST(PauseDetector, AnEarlierTimeDoesNotHideTheGap)
+{
+    detector.pass(start);
+    detector.pass(start - 5s);
+    CHECK(detector.pass(start + 3s));
+    CHECK_FALSE(detector.pass(start + 2s));
+    CHECK(detector.isStale());
+}
