--- a/Source/replay/ControlFleet.cpp
+++ b/Source/replay/ControlFleet.cpp
@@ -108,9 +108,6 @@
 void ControlFleet::publishText(const std::string& key, uint64_t version, std::string text)
 {
     m_published[key][version] = std::move(text);
-    // Texts that no reader can be given any more.
-    while (m_published[key].size() > 8)
-        m_published[key].erase(m_published[key].begin());
     note(hosts.size(), "publish " + key + " " + std::to_string(version));
     answerWaiters();
 }
