replay: Run non-idempotent requests at several hosts under faults

Cause: the promise of at most one run was checked by unit tests of one host only. Change: several real engines, upstream fakes and scripted callers in virtual time; host deaths, pauses, partitions, resends, late answers, planned stops and upstream crashes, alone and together, with checks after each event. The planned stop (withdraw, drain, hand over, stop) is part of the engine.

--- a/Source/papayabend/engine/AdmissionPath.cpp
+++ b/Source/papayabend/engine/AdmissionPath.cpp
@@ -1,7 +1,11 @@
 #include "papayabend/engine/AdmissionPath.h"
 
+#include "papayabend/engine/EntryPath.h"
+
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -11,7 +15,7 @@
 
     constexpr base::Duration exchangeInterval = std::chrono::milliseconds(500);
 
-    bool isUsable(const catalog::Upstream& upstream, routing::UpstreamTable& upstreams)
+    bool isOpen(const catalog::Upstream& upstream, routing::UpstreamTable& upstreams)
     {
         return !upstream.isLeaving && !upstreams.state(upstream.id).isDraining.load();
     }
@@ -24,7 +28,7 @@
         double slots = 0;
         for (auto id : service.pool) {
             const auto* upstream = catalog::findUpstream(catalog, id);
-            slots += upstream && isUsable(*upstream, upstreams) ? upstream->slots : 0;
+            slots += upstream && isOpen(*upstream, upstreams) ? upstream->slots : 0;
         }
         return slots;
     }
@@ -35,7 +39,7 @@
         std::vector<const catalog::Upstream*> usable;
         for (auto id : shard.replicas) {
             const auto* upstream = catalog::findUpstream(catalog, id);
-            if (upstream && isUsable(*upstream, upstreams))
+            if (upstream && isOpen(*upstream, upstreams))
                 usable.push_back(upstream);
         }
         for (const auto* upstream : usable)
@@ -189,19 +193,25 @@
 {
     Actions actions;
     auto view = m_shared.hostView.load();
-    std::vector<std::string> listed;
-    std::ranges::transform(view->hosts, std::back_inserter(listed), &membership::HostObservation::name);
-    m_admission.quotas().setListed(listed, now);
     auto catalog = m_shared.catalog.load();
-    for (const auto& service : catalog->services)
+    // Hosts that serve a service together with this one. A host counts the members of all its serving sets, so its
+    // portion of a limit is at most the even one.
+    std::set<std::string, std::less<>> members;
+    for (const auto& service : catalog->services) {
         m_admission.setSlots(service.name, slotsOf(*catalog, service, m_shared.upstreams));
+        auto serving = servingSet(m_shared, service.name);
+        if (std::ranges::find(serving, m_shared.identity.name) != serving.end())
+            members.insert(serving.begin(), serving.end());
+    }
+    m_admission.quotas().setListed(std::vector<std::string>(members.begin(), members.end()), now);
     auto reports = m_admission.takeReports(now);
     const auto* self = membership::findHost(*view, m_shared.identity.name);
     if (!self)
         return actions;
     m_admission.quotas().reportSent(++m_demandSequence, now);
     for (const auto& host : view->hosts) {
-        if (host.name == self->name || host.peerAddress.empty() || host.state == membership::HostState::Gone)
+        if (host.name == self->name || !members.contains(host.name) || host.peerAddress.empty()
+            || host.state == membership::HostState::Gone)
             continue;
         SendPeerMessage send { host.peerAddress, {} };
         send.message.sender = *self;
--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -20,6 +20,7 @@
     , m_searches(m_shared)
     , m_executions(m_shared, settings.tickets)
     , m_admission(m_shared, settings.admission, settings.quotas)
+    , m_entry(m_shared, settings.entry, settings.stop)
     , m_control(m_shared)
 {
 }
@@ -183,9 +184,13 @@
 
 Actions Engine::peerMessage(const PeerMessage& message, base::TimePoint now)
 {
+    // Messages of the request paths carry no news for the control path.
+    if (message.demandSequence != 0)
+        return perform(m_admission.peerMessage(message, now), now);
+    if (message.handOver != 0 || message.handOverAck != 0)
+        return m_executions.peerMessage(message, now);
     auto actions = m_control.peerMessage(message, now);
     append(actions, perform(m_admission.refresh(now), now));
-    append(actions, perform(m_admission.peerMessage(message, now), now));
     return actions;
 }
 
@@ -193,8 +198,22 @@
 {
     auto actions = m_control.tick(now);
     m_executions.expire(now);
+    auto open = m_admission.open() + m_executions.open();
+    if (auto next = m_entry.nextStage(open, m_executions.isHandedOver(now), now)) {
+        append(actions, m_control.advance(*next, now));
+        if (*next == membership::Lifecycle::HandingOver)
+            m_executions.beginHandOver(now);
+    }
+    append(actions, m_executions.handOver(now));
     append(actions, perform(m_admission.tick(now), now));
     return actions;
 }
 
+Actions Engine::beginStop(base::TimePoint now)
+{
+    if (!m_entry.beginStop(now))
+        return {};
+    return m_control.advance(membership::Lifecycle::Withdrawing, now);
+}
+
 }
--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -3,6 +3,7 @@
 #include "papayabend/engine/Action.h"
 #include "papayabend/engine/AdmissionPath.h"
 #include "papayabend/engine/ControlPath.h"
+#include "papayabend/engine/EntryPath.h"
 #include "papayabend/engine/ExecutionPath.h"
 #include "papayabend/engine/SearchPath.h"
 #include "papayabend/engine/SharedState.h"
@@ -24,6 +25,8 @@
     admission::AdmissionSettings admission;
     admission::QuotaSettings quotas;
     execution::TicketSettings tickets;
+    entry::EntrySettings entry;
+    StopSettings stop;
 };
 
 /** A ticket with the time for which it can be used, or the reason for which none was issued. */
@@ -71,6 +74,11 @@
     /** Reports that a read ended; called after the value, if there is one, has been passed on. */
     Actions platformReadEnded(std::string_view key, ReadStatus, base::TimePoint now);
     Actions peerMessage(const PeerMessage&, base::TimePoint now);
+    /** Starts a planned stop: withdraw, drain, hand over, stop. tick() leads it on; stage() tells its end. */
+    Actions beginStop(base::TimePoint now);
+    membership::Lifecycle stage() const { return m_entry.stage(); }
+    /** Hosts that callers should use, and the address of another host for a caller that should not use this one. */
+    EntryPath& entry() { return m_entry; }
     /** Called every 100 ms. */
     Actions tick(base::TimePoint now);
 
@@ -93,6 +101,7 @@
     SearchPath m_searches;
     ExecutionPath m_executions;
     AdmissionPath m_admission;
+    EntryPath m_entry;
     ControlPath m_control;
     std::atomic<routing::RequestId> m_lastRequest { 0 };
 };
--- a/Source/papayabend/engine/ExecutionPath.cpp
+++ b/Source/papayabend/engine/ExecutionPath.cpp
@@ -24,6 +24,11 @@
 
     uint64_t fingerprintOf(std::string_view body) { return std::max<uint64_t>(base::hash(body), 1); }
 
+    uint64_t contentOf(const execution::ExecutionRequest& request)
+    {
+        return routing::fingerprintOf(request.account, request.service, request.body);
+    }
+
     Action refusal(routing::RequestId id, RefusalCode code, Verdict verdict, std::string detail,
         std::optional<base::Duration> retryAfter = {})
     {
@@ -117,6 +122,10 @@
     auto begun = m_book.beginExecution({ *ticket, id, held.account, held.service, fingerprintOf(held.body) }, now);
     switch (begun.kind) {
     case BeginKind::Start:
+        if (m_shared.routing.quarantine.isQuarantined(contentOf(held), now)) {
+            settle(accessor, Verdict::NotRun, RefusalCode::Quarantined, {}, now, {}, step);
+            return step;
+        }
         step.wantsAdmission = true;
         break;
     case BeginKind::Wait:
@@ -220,7 +229,8 @@
     const auto* service = catalog::findService(*catalog, request.service);
     if (!service || service->kind != catalog::ServiceKind::Pooled || now >= request.deadline)
         return false;
-    auto chosen = routing::chooseReplica(m_shared.upstreams, *catalog, service->pool, running.tried, running.random);
+    auto chosen
+        = routing::chooseReplica(m_shared.upstreams, *catalog, service->pool, running.tried, running.random, now);
     if (!chosen || !m_book.markSent(running.ticket))
         return false;
     routing::Attempt attempt;
@@ -232,7 +242,7 @@
     attempt.body = request.body;
     attempt.deadline = request.deadline + outcomeGrace;
     attempt.isExecution = true;
-    routing::attemptStarted(m_shared.upstreams, attempt);
+    routing::attemptStarted(m_shared.upstreams, attempt, now);
     running.tried.push_back(*chosen);
     running.openAttempt = attempt.id;
     running.phase = Phase::InFlight;
@@ -293,6 +303,11 @@
     auto& running = *accessor->second;
     running.openAttempt = 0;
     auto verdict = routing::verdictOf(result.status);
+    if (result.status == routing::AttemptStatus::ConnectionLost) {
+        routing::Crash crash { base::hash(m_shared.upstreamNames.name(result.upstream)), 0 };
+        m_shared.quarantineNotices.push(
+            m_shared.routing.quarantine.crashed(contentOf(running.request), crash, false, now));
+    }
     m_book.attemptFinished(running.ticket, verdict);
     if (verdict == Verdict::NotRun) {
         if (running.tried.size() < maxAttempts && send(running, now, step.actions))
@@ -329,4 +344,57 @@
     return step;
 }
 
+void ExecutionPath::beginHandOver(base::TimePoint now)
+{
+    auto view = m_shared.hostView.load();
+    const auto& identity = m_shared.identity;
+    auto targets = execution::successors(*view, { identity.name, identity.incarnation, 0 }, execution::successorCount);
+    auto records = m_book.exportRecords(now);
+    std::scoped_lock lock(m_handOverMutex);
+    m_handOver = execution::beginHandOver(std::move(records), targets, now);
+}
+
+Actions ExecutionPath::handOver(base::TimePoint now)
+{
+    Actions actions;
+    std::scoped_lock lock(m_handOverMutex);
+    if (!m_handOver)
+        return actions;
+    auto view = m_shared.hostView.load();
+    const auto* self = membership::findHost(*view, m_shared.identity.name);
+    for (auto& batch : execution::batchesToSend(*m_handOver, now)) {
+        const auto* target = membership::findHost(*view, batch.target);
+        if (!target || !self)
+            continue;
+        SendPeerMessage send { target->peerAddress, {} };
+        send.message.sender = *self;
+        send.message.handOver = batch.number;
+        send.message.ticketRecords = std::move(batch.records);
+        actions.emplace_back(std::move(send));
+    }
+    return actions;
+}
+
+bool ExecutionPath::isHandedOver(base::TimePoint now)
+{
+    std::scoped_lock lock(m_handOverMutex);
+    return m_handOver && execution::isComplete(*m_handOver, now);
+}
+
+Actions ExecutionPath::peerMessage(const PeerMessage& message, base::TimePoint now)
+{
+    Actions actions;
+    if (message.handOver != 0) {
+        m_book.importRecords(message.ticketRecords, now);
+        SendPeerMessage send { message.sender.peerAddress, {} };
+        send.message.sender.name = m_shared.identity.name;
+        send.message.handOverAck = message.handOver;
+        actions.emplace_back(std::move(send));
+    }
+    std::scoped_lock lock(m_handOverMutex);
+    if (message.handOverAck != 0 && m_handOver)
+        execution::acknowledged(*m_handOver, message.sender.name, message.handOverAck);
+    return actions;
+}
+
 }
--- a/Source/papayabend/engine/ExecutionPath.h
+++ b/Source/papayabend/engine/ExecutionPath.h
@@ -3,9 +3,11 @@
 #include "papayabend/base/Random.h"
 #include "papayabend/engine/Action.h"
 #include "papayabend/engine/SharedState.h"
+#include "papayabend/execution/HandOver.h"
 #include "papayabend/execution/TicketBook.h"
 
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -53,6 +55,19 @@
 
     void expire(base::TimePoint now) { m_book.expire(now); }
 
+    /** Issues no more tickets and passes the records to the successors. Call it when open() is 0. */
+    void beginHandOver(base::TimePoint now);
+
+    /** Returns the messages of the hand-over that are due. */
+    Actions handOver(base::TimePoint now);
+    bool isHandedOver(base::TimePoint now);
+
+    /** Takes records of a stopping host, or another host's acknowledgement. */
+    Actions peerMessage(const PeerMessage&, base::TimePoint now);
+
+    /** Requests that wait or run. */
+    size_t open() const { return m_requests.size(); }
+
 private:
     enum class Phase : uint8_t { Queued, InFlight, WaitsForOther, Forwarded };
     struct Running {
@@ -81,6 +96,8 @@
     execution::TicketBook m_book;
     base::Duration m_ticketValidity;
     Requests m_requests;
+    std::mutex m_handOverMutex;
+    std::optional<execution::HandOver> m_handOver;
 };
 
 }
--- a/Source/papayabend/engine/SharedState.h
+++ b/Source/papayabend/engine/SharedState.h
@@ -11,8 +11,8 @@
 #include "papayabend/table/Table.h"
 
 #include <cstdint>
-#include <utility>
 #include <tbb/concurrent_queue.h>
+#include <utility>
 
 namespace papayabend::engine {
 
--- a/Source/replay/Scenario.h
+++ b/Source/replay/Scenario.h
@@ -67,5 +67,6 @@
 Figures measureTail(const MeasureOptions&);
 Figures measureReplicaLoss(const MeasureOptions&);
 Figures measureGoodput(const MeasureOptions&);
+Figures measureExecutions(const MeasureOptions&);
 
 }
