--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -22,6 +22,7 @@
     , m_admission(m_shared, settings.admission, settings.quotas)
     , m_entry(m_shared, settings.entry, settings.stop)
     , m_control(m_shared)
+    , m_quarantine(m_shared)
 {
 }
 
@@ -31,20 +32,6 @@
     m_shared.upstreams.configure(std::move(settings));
 }
 
-void Engine::quarantineNotice(const routing::QuarantineNotice& notice, base::TimePoint now)
-{
-    m_shared.routing.quarantine.received(notice, now);
-}
-
-std::vector<routing::QuarantineNotice> Engine::takeQuarantineNotices()
-{
-    std::vector<routing::QuarantineNotice> notices;
-    routing::QuarantineNotice notice;
-    while (m_shared.quarantineNotices.try_pop(notice))
-        notices.push_back(notice);
-    return notices;
-}
-
 routing::RequestId Engine::nextRequest() { return ++m_lastRequest; }
 
 Actions Engine::submitSearch(query::SearchRequest request, base::TimePoint now)
@@ -153,6 +140,7 @@
     m_admission.attemptFinished(result);
     auto actions = perform(m_executions.attemptFinished(result, now), now);
     append(actions, performSearch(m_searches.attemptFinished(result, now), now));
+    append(actions, m_quarantine.announce(now));
     return actions;
 }
 
@@ -189,6 +177,7 @@
         return perform(m_admission.peerMessage(message, now), now);
     if (message.handOver != 0 || message.handOverAck != 0)
         return m_executions.peerMessage(message, now);
+    m_quarantine.received(message.quarantine, now);
     auto actions = m_control.peerMessage(message, now);
     append(actions, perform(m_admission.refresh(now), now));
     return actions;
@@ -206,6 +195,8 @@
     }
     append(actions, m_executions.handOver(now));
     append(actions, perform(m_admission.tick(now), now));
+    append(actions, m_quarantine.tick(now));
+    m_shared.upstreams.setServingHosts(static_cast<uint32_t>(m_shared.hostView.load()->hosts.size()));
     return actions;
 }
 
--- a/Source/papayabend/engine/EntryPath.cpp
+++ b/Source/papayabend/engine/EntryPath.cpp
@@ -1,6 +1,6 @@
 #include "papayabend/engine/EntryPath.h"
 
-#include "papayabend/routing/ServingSet.h"
+#include "papayabend/engine/ServingHosts.h"
 
 #include <algorithm>
 #include <iterator>
@@ -74,19 +74,12 @@
     return std::nullopt;
 }
 
-std::vector<std::string> servingSet(SharedState& shared, std::string_view service)
+std::vector<std::string> servingSet(const SharedState& shared, std::string_view service)
 {
-    auto catalog = shared.catalog.load();
-    auto view = shared.hostView.load();
-    const auto* known = catalog::findService(*catalog, service);
-    if (!known)
-        return {};
-    std::vector<routing::ServingHost> hosts;
-    std::ranges::transform(view->hosts, std::back_inserter(hosts), [](const auto& host) {
-        return routing::ServingHost { host.name, host.failureDomain };
-    });
-    constexpr double connectionShare = 0.9;
-    return routing::servingHosts(service, hosts, routing::servingSetSize(*catalog, *known, 1, connectionShare));
+    std::vector<std::string> names;
+    std::ranges::transform(
+        servingHosts(shared, service), std::back_inserter(names), &membership::HostObservation::name);
+    return names;
 }
 
 }
--- a/Source/papayabend/engine/EntryPath.h
+++ b/Source/papayabend/engine/EntryPath.h
@@ -56,7 +56,7 @@
     base::TimePoint m_stageBegan {};
 };
 
-/** Returns the hosts of the view that serve a service; empty if the service is not known. */
-std::vector<std::string> servingSet(SharedState&, std::string_view service);
+/** Returns the names of the hosts that serve a service; empty if the service is not known. */
+std::vector<std::string> servingSet(const SharedState&, std::string_view service);
 
 }
