engine: Probe upstreams without searches and finish replies before a stop ends

Change: tick() sends due probes; the hand-over waits for the last replies; the script asks until a ticket is closed, follows redirects and sends fewer calls that outlast the deadline. Adds measurements of shares and limits, GET /v1/entry-hosts and redirects (HTTP 307) of callers with a stale entry answer.

--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -194,6 +194,7 @@
             m_executions.beginHandOver(now);
     }
     append(actions, m_executions.handOver(now));
+    append(actions, m_searches.tick(now));
     append(actions, perform(m_admission.tick(now), now));
     append(actions, m_quarantine.tick(now));
     m_shared.upstreams.setServingHosts(static_cast<uint32_t>(m_shared.hostView.load()->hosts.size()));
--- a/Source/papayabend/engine/EntryPath.cpp
+++ b/Source/papayabend/engine/EntryPath.cpp
@@ -69,7 +69,9 @@
         return advance(Lifecycle::Draining);
     if (m_stage == Lifecycle::Draining && (openRequests == 0 || elapsed >= m_stop.drain))
         return advance(Lifecycle::HandingOver);
-    if (m_stage == Lifecycle::HandingOver && isHandedOver)
+    // Stale callers may still ask for outcomes; they get their replies before the process ends.
+    bool isQuiet = openRequests == 0 || elapsed >= m_stop.lastReplies;
+    if (m_stage == Lifecycle::HandingOver && isHandedOver && isQuiet)
         return advance(Lifecycle::Stopped);
     return std::nullopt;
 }
--- a/Source/papayabend/engine/EntryPath.h
+++ b/Source/papayabend/engine/EntryPath.h
@@ -23,6 +23,8 @@
      * deadline and the time for which an outcome is awaited after it.
      */
     base::Duration drain { std::chrono::seconds(100) };
+    /** Time in which requests that arrive during the hand-over get their replies. */
+    base::Duration lastReplies { std::chrono::seconds(70) };
 };
 
 /** \class EntryPath
--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -123,6 +123,13 @@
     return actions;
 }
 
+Actions SearchPath::tick(base::TimePoint now)
+{
+    Actions actions;
+    addProbes(*m_shared.catalog.load(), actions, now);
+    return actions;
+}
+
 Actions SearchPath::timerExpired(routing::RequestId id, base::TimePoint now)
 {
     Searches::accessor accessor;
--- a/Source/papayabend/engine/SearchPath.h
+++ b/Source/papayabend/engine/SearchPath.h
@@ -25,6 +25,8 @@
     Actions start(query::SearchRequest, base::TimePoint now);
     Actions attemptFinished(const routing::AttemptResult&, base::TimePoint now);
     Actions timerExpired(routing::RequestId, base::TimePoint now);
+    /** Sends probes that are due, also while no search arrives. */
+    Actions tick(base::TimePoint now);
 
 private:
     struct RunningSearch {
--- a/Source/papayabend/transport/HttpExecution.cpp
+++ b/Source/papayabend/transport/HttpExecution.cpp
@@ -116,10 +116,59 @@
         writeJson(response, { { "ticket", issued.ticket }, { "validityMs", validity.count() } });
     }
 
+    entry::Caller callerOf(const httplib::Request& request)
+    {
+        auto name = request.get_param_value("caller");
+        return { name.empty() ? request.remote_addr : name, request.get_param_value("failureDomain") };
+    }
+
+    void entryHosts(engine::Engine& engine, const httplib::Request& request, httplib::Response& response)
+    {
+        auto answer = engine.entry().rank(request.get_param_value("account"), request.get_param_value("service"),
+            callerOf(request), base::BootClock::now());
+        if (answer.hosts.empty()) {
+            refuse(response,
+                { RefusalCode::NotReady, Verdict::NotRun, "no serving host is known", std::chrono::seconds(1) });
+            return;
+        }
+        Json hosts = Json::array();
+        for (const auto& host : answer.hosts)
+            hosts.push_back({ { "name", host.name }, { "address", host.callerAddress },
+                { "failureDomain", host.failureDomain } });
+        auto timeToLive = std::chrono::floor<std::chrono::milliseconds>(answer.timeToLive);
+        writeJson(response, { { "hosts", std::move(hosts) }, { "timeToLiveMs", timeToLive.count() } });
+    }
+
+    /** Sends callers with a stale entry answer to another host. A ticket would be bound to this process, so none is
+     * issued once the stop has begun; searches are served until the host drains.
+     */
+    bool redirect(engine::Engine& engine, const httplib::Request& request, httplib::Response& response)
+    {
+        using membership::Lifecycle;
+        auto stage = engine.stage();
+        auto isDue = request.path == "/v1/tickets" ? stage >= Lifecycle::Withdrawing
+                                                   : request.path == "/v1/search" && stage >= Lifecycle::Draining;
+        if (!isDue)
+            return false;
+        auto other = engine.entry().otherHost({}, {}, callerOf(request), base::BootClock::now());
+        if (!other)
+            return false;
+        constexpr int temporaryRedirect = 307;
+        response.set_redirect("http://" + *other + request.path, temporaryRedirect);
+        return true;
+    }
+
 }
 
 void addExecutionRoutes(httplib::Server& server, engine::Engine& engine, Shell& shell)
 {
+    server.set_pre_routing_handler([&engine](const httplib::Request& request, httplib::Response& response) {
+        using Handled = httplib::Server::HandlerResponse;
+        return redirect(engine, request, response) ? Handled::Handled : Handled::Unhandled;
+    });
+    server.Get("/v1/entry-hosts", [&engine](const httplib::Request& request, httplib::Response& response) {
+        entryHosts(engine, request, response);
+    });
     server.Post("/v1/tickets", [&engine](const httplib::Request& request, httplib::Response& response) {
         issueTicket(engine, request, response);
     });
--- a/Source/replay/ExecutionCallers.cpp
+++ b/Source/replay/ExecutionCallers.cpp
@@ -46,7 +46,7 @@
     auto& request = m_requests.emplace_back();
     request.body = "r" + std::to_string(n);
     request.sendsLeft = m_options.faults.resends ? 4 : 3;
-    request.queriesLeft = 4;
+    request.queriesLeft = 6; // Longer than the validity of a ticket.
     request.ticketTriesLeft = 10;
     m_byBody[request.body] = n;
     obtainTicket(n);
@@ -69,11 +69,23 @@
     auto host = randomHost();
     auto& issuer = m_hosts[host];
     auto retry = [this, n] { at(m_now + 500ms, [this, n] { obtainTicket(n); }); };
-    if (!issuer.engine || issuer.isPaused || issuer.engine->stage() != membership::Lifecycle::Serving) {
+    if (!issuer.engine || issuer.isPaused) {
         retry();
         return;
     }
-    auto reply = issuer.engine->issueTicket(n % 3 == 0 ? "sul" : "muscat", "faturas", m_now);
+    if (issuer.engine->stage() != membership::Lifecycle::Serving) {
+        // The host redirects its callers.
+        auto other = issuer.engine->entry().otherHost({}, {}, { request.body, {} }, m_now);
+        auto it = std::ranges::find_if(
+            m_hosts, [&](const Host& candidate) { return other && candidate.name + ":1" == *other; });
+        if (it == m_hosts.end() || !it->engine || it->isPaused
+            || it->engine->stage() != membership::Lifecycle::Serving) {
+            retry();
+            return;
+        }
+        host = static_cast<uint32_t>(it - m_hosts.begin());
+    }
+    auto reply = m_hosts[host].engine->issueTicket(n % 3 == 0 ? "sul" : "muscat", "faturas", m_now);
     auto* issued = std::get_if<execution::IssuedTicket>(&reply);
     if (!issued) {
         retry();
@@ -81,7 +93,7 @@
     }
     request.ticket = issued->ticket;
     request.issuer = host;
-    request.issuerIncarnation = issuer.incarnation;
+    request.issuerIncarnation = m_hosts[host].incarnation;
     note(n, "ticket " + request.ticket);
     at(m_now + delay(), [this, n] { submit(n, ExecutionKind::Run, false); });
     // A caller that lost its patience resends at once, to any host.
--- a/Source/replay/ExecutionFleet.cpp
+++ b/Source/replay/ExecutionFleet.cpp
@@ -236,6 +236,15 @@
 {
     auto id = ++m_lastCall;
     auto upstream = static_cast<uint32_t>(std::stoul(action.attempt.address.substr(1)));
+    if (action.attempt.isProbe) {
+        routing::AttemptResult result;
+        result.attempt = action.attempt.id;
+        result.upstream = action.attempt.upstream;
+        result.status = AttemptStatus::Ran;
+        result.load = routing::LoadReport {};
+        atHost(n, m_now + delay(), [this, n, result] { perform(n, m_hosts[n].engine->attemptFinished(result, m_now)); });
+        return;
+    }
     // A ticket takes the first body that arrives; the other body of the same ticket must then not be sent.
     auto request = m_byBody.find(action.attempt.body.substr(0, action.attempt.body.find(' ')));
     note(request->second, m_hosts[n].name + " sends to u" + std::to_string(upstream));
@@ -267,7 +276,7 @@
     note(call.request, "runs");
     ++upstream.busy;
     auto time = Duration(static_cast<int64_t>(-5000 * std::log(1 - base::uniform(m_random))) + 500);
-    if (m_options.faults.lateAnswers && m_random() % 200 == 0)
+    if (m_options.faults.lateAnswers && m_random() % 2000 == 0)
         time = std::chrono::seconds(1 + static_cast<int64_t>(m_random() % 45));
     auto number = call.upstream;
     auto generation = upstream.generation;
--- a/Source/replay/Scenario.cpp
+++ b/Source/replay/Scenario.cpp
@@ -15,6 +15,8 @@
         { "goodput", "complete answers in time at 0.5, 1, 2 and 3 times capacity", measureGoodput },
         { "executions", "non-idempotent requests at several hosts under faults, alone and together",
             measureExecutions },
+        { "shares", "requests passed for each account over its grant, several hosts", measureShares },
+        { "limits", "requests passed for an account with a limit, several hosts", measureLimits },
     };
     return all;
 }
--- a/Source/replay/Scenario.h
+++ b/Source/replay/Scenario.h
@@ -68,5 +68,7 @@
 Figures measureReplicaLoss(const MeasureOptions&);
 Figures measureGoodput(const MeasureOptions&);
 Figures measureExecutions(const MeasureOptions&);
+Figures measureShares(const MeasureOptions&);
+Figures measureLimits(const MeasureOptions&);
 
 }
