--- a/Source/replay/Scenario.cpp
+++ b/Source/replay/Scenario.cpp
@@ -19,6 +19,10 @@
             measureControlRestart },
         { "control-outage", "platform reads after an outage of the platform and a healed partition",
             measureControlOutage },
+        { "executions", "non-idempotent requests at several hosts under faults, alone and together",
+            measureExecutions },
+        { "shares", "requests passed for each account over its grant, several hosts", measureShares },
+        { "limits", "requests passed for an account with a limit, several hosts", measureLimits },
     };
     return all;
 }
