replay: Deliver peer messages, ticks, platform reads and the host list

Cause: the engine now asks for reads and sends messages to other hosts. Change: peer messages travel with the delay between failure domains, are lost in a partition, with a given share or with a dead receiver; reads wait as watches and end with a value, unchanged or failed; the host list lags.

--- a/Source/replay/Event.h
+++ b/Source/replay/Event.h
@@ -18,7 +18,9 @@
     CancelArrives, /**< A cancellation reaches the upstream. subject: call slot, check: its generation. */
     Timer, /**< subject: request number of the host, check: incarnation of the host. */
     Tick, /**< check: incarnation of the host. */
-    PlatformAnswers, /**< subject: read slot, check: incarnation of the host. */
+    PlatformAnswers, /**< A read's end reaches its host. subject: read slot, check: its generation. */
+    PlatformWaitEnds, /**< subject: read slot, check: its generation. */
+    PeerMessageArrives, /**< subject: index in World::peerMessages, check: incarnation of the receiver. */
     Scripted, /**< subject: index in World::scripts. */
 };
 
--- a/Source/replay/Internal.h
+++ b/Source/replay/Internal.h
@@ -24,8 +24,15 @@
 /** Forgets the calls of a host that died; the upstreams see their connections end. */
 void dropCallsOf(World&, Host&);
 
-void readPlatform(World&, Host&, const std::string& key, uint64_t after);
+void readPlatform(World&, Host&, const engine::ReadPlatform&);
 void platformAnswers(World&, uint32_t slot);
+void platformWaitEnds(World&, uint32_t slot);
+/** Changes the host list after its lag. */
+void listHost(World&, uint32_t host, bool isListed);
+
+void sendPeerMessage(World&, Host&, engine::SendPeerMessage&&);
+void peerMessageArrives(World&, uint32_t host, uint32_t slot);
+void tickHost(World&, Host&);
 
 void checkAnswer(World&, const Request&, const query::SearchAnswer&);
 void checkRefusal(World&, const Request&, const base::Refusal&);
--- a/Source/replay/Perform.cpp
+++ b/Source/replay/Perform.cpp
@@ -58,6 +58,9 @@
             schedule(world, action.at, EventKind::Timer, host.index, action.request, host.incarnation);
         }
 
+        void operator()(engine::SendPeerMessage& action) const { sendPeerMessage(world, host, std::move(action)); }
+        void operator()(engine::ReadPlatform& action) const { readPlatform(world, host, action); }
+
         void operator()(engine::StateChange& action) const
         {
             if (world.recorder.stateChanged)
--- a/Source/replay/Policies.cpp
+++ b/Source/replay/Policies.cpp
@@ -6,7 +6,7 @@
 
     std::unique_ptr<engine::Engine> makeDefault(const World& world, const Host& host)
     {
-        return std::make_unique<engine::Engine>(world.seed * 1'000'003 + host.index);
+        return std::make_unique<engine::Engine>(world.seed * 1'000'003 + host.index, identityOf(world, host));
     }
 
 }
--- a/Source/replay/World.cpp
+++ b/Source/replay/World.cpp
@@ -10,40 +10,7 @@
 
 namespace {
 
-    void takeCatalog(World& world, std::string_view text)
-    {
-        catalog::UpstreamNames names;
-        base::LastReason reason;
-        auto parsed = catalog::parseCatalog(text, names, reason);
-        if (!parsed)
-            return;
-        for (const auto& it : parsed->upstreams) {
-            if (world.upstreamsByAddress.contains(it.address))
-                continue;
-            Upstream upstream;
-            upstream.name = it.name;
-            upstream.address = it.address;
-            upstream.domain = domainIndex(world, it.failureDomain);
-            upstream.slots = it.slots;
-            upstream.connectionLimit = it.connectionLimit;
-            upstream.connectTime = it.connectTime;
-            world.upstreamsByAddress.emplace(it.address, static_cast<uint32_t>(world.upstreams.size()));
-            world.upstreams.push_back(std::move(upstream));
-        }
-        for (const auto& service : parsed->services) {
-            for (const auto& snapshot : service.snapshots) {
-                auto& truth = world.truth[service.name][snapshot.id];
-                truth = {};
-                for (const auto& shard : snapshot.shards) {
-                    TrueShard it { static_cast<uint32_t>(truth.shards.size()), shard.units, {} };
-                    std::ranges::transform(shard.replicas, std::back_inserter(it.replicas),
-                        [&](catalog::UpstreamId id) { return upstreamIndex(world, names.name(id)); });
-                    truth.units += shard.units;
-                    truth.shards.emplace(shard.name, std::move(it));
-                }
-            }
-        }
-    }
+    constexpr size_t seedCount = 3;
 
     void requestArrives(World& world, uint32_t n)
     {
@@ -88,6 +55,7 @@
         case EventKind::Timer:
         case EventKind::Tick:
         case EventKind::PlatformAnswers:
+        case EventKind::PeerMessageArrives:
             return true;
         default:
             return false;
@@ -106,9 +74,16 @@
             auto script = std::move(world.scripts[slot]);
             return script(world);
         }
+        case EventKind::PlatformAnswers:
+        case EventKind::PlatformWaitEnds:
+            if (world.platform.slots[slot].generation != event.check)
+                return;
+            return event.kind == EventKind::PlatformAnswers ? platformAnswers(world, slot)
+                                                            : platformWaitEnds(world, slot);
+        case EventKind::PeerMessageArrives:
+            return peerMessageArrives(world, event.host, slot);
         case EventKind::Timer:
         case EventKind::Tick:
-        case EventKind::PlatformAnswers:
             break;
         default:
             if (world.calls[slot].generation != event.check)
@@ -132,10 +107,27 @@
         }
         if (event.kind == EventKind::Timer)
             perform(world, host, host.engine->timerExpired(event.subject, world.now));
-        else if (event.kind == EventKind::PlatformAnswers)
-            platformAnswers(world, slot);
+        else
+            tickHost(world, host);
+    }
+
+}
+
+membership::HostIdentity identityOf(const World& world, const Host& host)
+{
+    membership::HostIdentity identity { host.name, host.callerAddress, host.peerAddress, world.domains[host.domain],
+        "region", host.incarnation, {} };
+    for (const auto& it : world.hosts) {
+        if (it.index != host.index && identity.seeds.size() < seedCount)
+            identity.seeds.push_back(it.peerAddress);
     }
+    return identity;
+}
 
+void tickHost(World& world, Host& host)
+{
+    perform(world, host, host.engine->tick(world.now));
+    schedule(world, world.now + world.tickPeriod, EventKind::Tick, host.index, 0, host.incarnation);
 }
 
 void schedule(World& world, TimePoint time, EventKind kind, uint32_t host, uint64_t subject, uint64_t check)
@@ -181,6 +173,10 @@
     host.name = std::move(name);
     host.index = index;
     host.domain = domainIndex(world, domain);
+    auto address = "10.255." + std::to_string(index / 250) + "." + std::to_string(index % 250 + 1);
+    host.callerAddress = address + ":8080";
+    host.peerAddress = address + ":9090";
+    world.hostsByPeerAddress.emplace(host.peerAddress, index);
     return index;
 }
 
@@ -191,10 +187,14 @@
         return;
     ++host.incarnation;
     host.isPaused = false;
-    host.engine = world.makeEngine ? world.makeEngine(world, host)
-                                   : std::make_unique<engine::Engine>(world.seed * 1'000'003 + n);
-    readPlatform(world, host, "table", 0);
-    readPlatform(world, host, "catalog", 0);
+    host.engine = world.makeEngine
+        ? world.makeEngine(world, host)
+        : std::make_unique<engine::Engine>(world.seed * 1'000'003 + n, identityOf(world, host));
+    listHost(world, n, true);
+    // The engine issues no reads of its own yet.
+    readPlatform(world, host, { "table", 0, std::chrono::hours(1) });
+    readPlatform(world, host, { "catalog", 0, std::chrono::hours(1) });
+    tickHost(world, host);
 }
 
 void killHost(World& world, uint32_t n)
@@ -210,6 +210,7 @@
     host.requests.clear();
     host.held.clear();
     host.engine.reset();
+    listHost(world, n, false);
     for (auto it : open) {
         auto& request = world.requests[it];
         request.outcome = RequestOutcome::Reset;
@@ -230,24 +231,6 @@
         schedule(world, world.now, event.kind, event.host, event.subject, event.check);
 }
 
-void publish(World& world, std::string_view key, std::string_view text)
-{
-    if (key == "catalog")
-        takeCatalog(world, text);
-    auto& value = world.platform.values[std::string(key)];
-    ++value.version;
-    value.text = text;
-    for (uint32_t n = 0; n < world.platform.slots.size(); ++n) {
-        auto& read = world.platform.slots[n];
-        if (!read.isWaiting || read.key != key || world.platform.isDown || world.platform.isStale)
-            continue;
-        read.isWaiting = false;
-        read.answer = value.text;
-        schedule(world, world.now + world.platform.delay / 2, EventKind::PlatformAnswers, read.host, n,
-            read.hostIncarnation);
-    }
-}
-
 void cutDomains(World& world, std::string_view first, std::string_view second)
 {
     world.cutDomains.insert(std::minmax(domainIndex(world, first), domainIndex(world, second)));
--- a/Source/replay/World.h
+++ b/Source/replay/World.h
@@ -93,6 +93,8 @@
     std::string name;
     uint32_t index { 0 };
     uint32_t domain { 0 };
+    std::string callerAddress;
+    std::string peerAddress;
     uint64_t incarnation { 0 };
     std::unique_ptr<engine::Engine> engine; /**< Null while the host is down. */
     bool isPaused { false };
@@ -106,12 +108,14 @@
  * \brief A read or watch of the configuration service.
  */
 struct PlatformRead {
+    uint64_t generation { 1 }; /**< Counts the uses of the slot; events of former uses are dropped. */
     uint32_t host { 0 };
     uint64_t hostIncarnation { 0 };
     std::string key;
     uint64_t after { 0 };
     bool isWaiting { false };
-    std::optional<std::string> answer;
+    engine::ReadStatus status { engine::ReadStatus::Failed };
+    std::string answer;
 };
 
 /** \struct Platform
@@ -127,9 +131,12 @@
     bool isDown { false };
     bool isStale { false };
     Duration delay { 2'000 }; /**< From a read to its answer. */
-    Duration retryDelay { 500'000 }; /**< Host's delay after a failed read. */
+    Duration hostListLag { std::chrono::seconds(2) }; /**< Until a started or dead host changes the host list. */
     uint64_t reads { 0 };
     std::vector<PlatformRead> slots;
+    std::vector<uint32_t> freeSlots;
+    std::set<uint32_t> listedHosts;
+    uint64_t hostListVersion { 0 };
 };
 
 /** \struct TrueShard
@@ -159,6 +166,7 @@
     Duration remoteDelay { 5'000 }; /**< One way, between failure domains. */
     Duration callerDelay { 1'000 };
     Duration tickPeriod { 100'000 };
+    double peerLoss { 0 }; /**< Share of peer messages that are lost. */
     uint32_t hitsPerShard { 1 };
     Duration crashRestartTime { 0 }; /**< Time after which a crashed upstream restarts; 0: it stays down. */
 
@@ -185,15 +193,22 @@
     std::optional<Request> nextArrival;
     std::map<std::string, std::map<uint64_t, TrueSnapshot>, std::less<>> truth; /**< By service and snapshot. */
     std::unordered_map<std::string, uint32_t> upstreamsByAddress;
+    std::unordered_map<std::string, uint32_t> hostsByPeerAddress;
+    std::vector<engine::PeerMessage> peerMessages;
+    std::vector<uint32_t> freePeerMessages;
+    base::Random lossRandom { 1 };
     std::unordered_map<std::string, uint32_t> executions; /**< Starts of each execution body. */
 
     uint64_t eventsHandled { 0 };
     uint64_t callsSent { 0 };
+    uint64_t peerMessagesSent { 0 };
     uint64_t unhandledActions { 0 };
     uint64_t violations { 0 };
     std::vector<std::string> violationTexts; /**< The first ones. */
 };
 
+/** Returns what a process of the host knows from its settings. */
+membership::HostIdentity identityOf(const World&, const Host&);
 /** Adds a host that is started by run() or startHost(). Returns its index. */
 uint32_t addHost(World&, std::string name, std::string_view domain);
 /** Returns the index of a failure domain and adds it if it is new. */
@@ -205,7 +220,8 @@
 void pauseHost(World&, uint32_t host);
 void resumeHost(World&, uint32_t host);
 
-/** Publishes a value on the configuration service. A catalogue also creates the upstream fakes it lists. */
+/** Publishes a value on the configuration service under the version it contains, or the next one if it contains
+ * none. A catalogue also creates the upstream fakes it lists. */
 void publish(World&, std::string_view key, std::string_view text);
 /** Takes a service outage's beginning or end. */
 void setPlatformDown(World&, bool isDown);
