--- a/Source/replay/Platform.cpp
+++ b/Source/replay/Platform.cpp
@@ -187,18 +187,6 @@
     else if (status == ReadStatus::Value)
         perform(world, host, host.engine->valuePublished(key, answer, world.now));
     perform(world, host, host.engine->platformReadEnded(key, status, world.now));
-    // The engine issues no reads of its own yet.
-    if (key != "hosts") {
-        auto version = key == "table" ? host.engine->table()->version : host.engine->catalog()->version;
-        auto again = [n = host.index, key, version](World& w) {
-            if (w.hosts[n].engine)
-                readPlatform(w, w.hosts[n], { key, version, std::chrono::hours(1) });
-        };
-        if (status == ReadStatus::Failed)
-            at(world, world.now + std::chrono::milliseconds(500), again);
-        else
-            again(world);
-    }
 }
 
 void setPlatformDown(World& world, bool isDown)
--- a/Source/replay/World.cpp
+++ b/Source/replay/World.cpp
@@ -191,9 +191,6 @@
         ? world.makeEngine(world, host)
         : std::make_unique<engine::Engine>(world.seed * 1'000'003 + n, identityOf(world, host));
     listHost(world, n, true);
-    // The engine issues no reads of its own yet.
-    readPlatform(world, host, { "table", 0, std::chrono::hours(1) });
-    readPlatform(world, host, { "catalog", 0, std::chrono::hours(1) });
     tickHost(world, host);
 }
 
