--- a/Source/replay/Deployment.cpp
+++ b/Source/replay/Deployment.cpp
@@ -12,7 +12,7 @@
     using Json = nlohmann::json;
 
     constexpr uint64_t unitsPerShard = 10'000;
-    constexpr auto startUpTime = std::chrono::seconds(2);
+    constexpr auto startUpTime = std::chrono::seconds(4);
 
     ServiceShape sharded(std::string name, uint32_t shards, Duration median)
     {
@@ -100,6 +100,19 @@
     return catalog.dump();
 }
 
+std::string tableText(const Deployment& deployment, const std::vector<std::string>& accounts, uint64_t version)
+{
+    auto text = "version," + std::to_string(version) + "\naccount";
+    for (const auto& shape : deployment.services)
+        text += "," + shape.name;
+    for (const auto& account : accounts) {
+        text += "\n" + account;
+        for (size_t n = 0; n < deployment.services.size(); ++n)
+            text += ",weight=1";
+    }
+    return text + "\n";
+}
+
 Duration meanServiceTime(const ServiceTime& time)
 {
     double factor = std::exp(time.sigma * time.sigma / 2);
@@ -120,6 +133,8 @@
     for (const auto& shape : deployment.services)
         world.serviceTimes[shape.name] = shape.serviceTime;
     publish(world, "catalog", catalogText(deployment));
+    if (!world.platform.values.contains("table"))
+        publish(world, "table", tableText(deployment, { deployment.account }));
     for (uint32_t n = 0; n < deployment.hosts; ++n) {
         const auto& domain = deployment.domains[n % deployment.domains.size()];
         addHost(world, domain + "-" + std::to_string(n / deployment.domains.size() + 1), domain);
--- a/Source/replay/Deployment.h
+++ b/Source/replay/Deployment.h
@@ -46,13 +46,17 @@
 /** Returns the catalogue as the platform publishes it. Replicas of a shard are in different failure domains. */
 std::string catalogText(const Deployment&, uint64_t version = 1, uint64_t snapshot = 1);
 
+/** Returns a table that grants \a accounts, all of weight 1, access to every service. */
+std::string tableText(const Deployment&, const std::vector<std::string>& accounts, uint64_t version = 1);
+
 /** Mean time for which a call of the service holds a slot. */
 Duration meanServiceTime(const ServiceTime&);
 
 /** Requests per second that the slots of the service can run. */
 double capacityOf(const ServiceShape&);
 
-/** Fills the world with the deployment, publishes its values, starts the hosts and runs until they serve. */
+/** Fills the world with the deployment, publishes its catalogue, and a table unless one is published already, starts
+ * the hosts and runs until they serve. */
 void setUp(World&, const Deployment&);
 
 }
