replay: Run non-idempotent requests and forwards between hosts

Cause: tickets and forwards are in the engine, and nothing replayed them over several hosts. Change: callers obtain a ticket, run it, resend it to any host or ask for its outcome; forwards travel between hosts and end as unknown if the host is dead or cut off. Checks: a body starts at most once, an answer belongs to the request's body, and a body that a caller was told has not run never starts later. Conclusion: cases and measurements of executions can follow.

--- a/Source/replay/Event.h
+++ b/Source/replay/Event.h
@@ -10,6 +10,9 @@
 
 enum class EventKind : uint8_t {
     NextArrival, /**< The arrival source is due. */
+    ExecutionArrives, /**< subject: index in World::requests. */
+    ForwardArrives, /**< subject: index in World::forwards. */
+    ForwardReplyArrives, /**< subject: index in World::forwards. */
     RequestArrives, /**< subject: index in World::requests. */
     CallArrives, /**< A call reaches its upstream. subject: call slot, check: its generation. */
     ServiceEnds, /**< subject: call slot, check: its generation. */
--- a/Source/replay/Recorder.h
+++ b/Source/replay/Recorder.h
@@ -20,6 +20,8 @@
  */
 struct Recorder {
     std::function<void(const World&, const Request&, const query::SearchAnswer&)> answered;
+    std::function<void(const World&, const Request&, const execution::ExecutionAnswer&)> executed;
+    std::function<void(const World&, const Request&, const execution::OutcomeAnswer&)> outcomeTold;
     std::function<void(const World&, const Request&, const base::Refusal&)> refused;
     /** The caller's connection ended without an answer because the host died. */
     std::function<void(const World&, const Request&)> reset;
--- a/Source/replay/SessionRun.cpp
+++ b/Source/replay/SessionRun.cpp
@@ -52,6 +52,17 @@
             printer.line(it, hostName(it, request),
                 (isComplete ? "answer " : "partial answer ") + request.body + ": " + describeAnswer(answer));
         };
+        recorder.executed
+            = [&, hostName](const World& it, const Request& request, const execution::ExecutionAnswer& answer) {
+                  ++printer.counters["executed"];
+                  printer.line(it, hostName(it, request), "executed " + request.body + ": " + answer.body);
+              };
+        recorder.outcomeTold
+            = [&, hostName](const World& it, const Request& request, const execution::OutcomeAnswer& answer) {
+                  auto verdict = answer.verdict ? std::string(base::toString(*answer.verdict)) : "open";
+                  ++printer.counters["outcome." + verdict];
+                  printer.line(it, hostName(it, request), "outcome " + request.body + ": " + verdict);
+              };
         recorder.refused = [&, hostName](const World& it, const Request& request, const base::Refusal& refusal) {
             ++printer.counters["refused"];
             ++printer.counters["refused." + std::string(base::toString(refusal.code))];
@@ -97,6 +108,7 @@
         printer.counters["shed"] += upstream.callsShed;
         printer.counters["started." + upstream.name] = upstream.callsStarted;
     }
+    printer.counters["bodiesRun"] = world.executions.size();
     printer.counters["platformReads"] = world.platform.reads;
     SessionResult result { std::move(printer.output), std::move(world.violationTexts) };
     for (const auto& [name, bounds] : session.required) {
--- a/Source/replay/World.cpp
+++ b/Source/replay/World.cpp
@@ -23,9 +23,11 @@
                 world.recorder.reset(world, request);
             return;
         }
+        request.receivedAt = world.now;
+        if (request.kind != RequestKind::Search)
+            return executionRequested(world, host, request);
         request.id = host.engine->nextRequest();
         request.hostIncarnation = host.incarnation;
-        request.receivedAt = world.now;
         host.requests.emplace(request.id, n);
         query::SearchRequest search;
         search.id = request.id;
@@ -50,6 +52,9 @@
     bool isHostEvent(EventKind kind)
     {
         switch (kind) {
+        case EventKind::ExecutionArrives:
+        case EventKind::ForwardArrives:
+        case EventKind::ForwardReplyArrives:
         case EventKind::RequestArrives:
         case EventKind::ResultArrives:
         case EventKind::Timer:
@@ -70,6 +75,12 @@
             return pullArrival(world);
         case EventKind::RequestArrives:
             return requestArrives(world, slot);
+        case EventKind::ExecutionArrives:
+            return executionArrives(world, slot);
+        case EventKind::ForwardArrives:
+            return forwardArrives(world, slot);
+        case EventKind::ForwardReplyArrives:
+            return forwardReplyArrives(world, slot);
         case EventKind::Scripted: {
             auto script = std::move(world.scripts[slot]);
             return script(world);
@@ -200,9 +211,12 @@
     if (!host.engine)
         return;
     dropCallsOf(world, host);
+    dropForwardsOf(world, host);
     std::vector<uint32_t> open;
-    for (auto [id, request] : host.requests)
-        open.push_back(request);
+    for (auto [id, request] : host.requests) {
+        if (world.requests[request].host == n && world.requests[request].outcome == RequestOutcome::Open)
+            open.push_back(request);
+    }
     std::ranges::sort(open);
     host.requests.clear();
     host.held.clear();
--- a/Source/replay/World.h
+++ b/Source/replay/World.h
@@ -41,12 +41,23 @@
 
 enum class RequestOutcome : uint8_t { Open, Answered, Refused, Reset };
 
+/** \enum RequestKind
+ * \brief What the caller does.
+ */
+enum class RequestKind : uint8_t {
+    Search,
+    Execute, /**< Obtains a ticket first, unless it resends an earlier request's. */
+    QueryOutcome, /**< Asks for the outcome of an earlier request's ticket. */
+};
+
 /** \struct Request
  * \brief A caller's request and what happened to it. The first group is filled by the case.
  */
 struct Request {
     std::string account;
     std::string service;
+    RequestKind kind { RequestKind::Search };
+    std::optional<uint32_t> ticketOf; /**< Number of the earlier request whose ticket is used. */
     std::string body; /**< Must differ between requests; a body that starts with "crash" crashes its upstream. */
     uint32_t host { 0 };
     uint32_t maxHits { 10 };
@@ -56,6 +67,7 @@
 
     uint32_t number { 0 }; /**< Index in World::requests. */
     routing::RequestId id { 0 };
+    std::string ticket;
     uint64_t hostIncarnation { 0 };
     TimePoint receivedAt {};
     TimePoint finishedAt {}; /**< At the caller. */
@@ -86,6 +98,20 @@
     bool isRunning { false };
 };
 
+/** \struct Forward
+ * \brief An execution that one host passed to another.
+ */
+struct Forward {
+    uint32_t origin { 0 };
+    uint64_t originIncarnation { 0 };
+    routing::RequestId originId { 0 };
+    uint32_t target { 0 };
+    uint32_t request { 0 };
+    execution::ExecutionRequest execution;
+    execution::ForwardReply reply;
+    bool isEnded { false };
+};
+
 /** \struct Host
  * \brief A host that runs the real engine. A paused host receives its events when it resumes.
  */
@@ -100,7 +126,8 @@
     bool isPaused { false };
     std::vector<Event> held;
     std::vector<TimePoint> connections; /**< By upstream: time at which it is usable; the maximum if closed. */
-    std::unordered_map<routing::RequestId, uint32_t> requests;
+    std::unordered_map<routing::RequestId, uint32_t> requests; /**< Executions stay after their reply. */
+    std::unordered_map<routing::RequestId, uint32_t> forwards; /**< Open forwards that this host received. */
     std::unordered_map<routing::AttemptId, uint32_t> calls;
 };
 
@@ -197,7 +224,9 @@
     std::vector<engine::PeerMessage> peerMessages;
     std::vector<uint32_t> freePeerMessages;
     base::Random lossRandom { 1 };
+    std::vector<Forward> forwards;
     std::unordered_map<std::string, uint32_t> executions; /**< Starts of each execution body. */
+    std::set<std::string> executionsNotRun; /**< Bodies that a caller was told have not run and will not run. */
 
     uint64_t eventsHandled { 0 };
     uint64_t callsSent { 0 };
