--- a/Source/replay/SessionRun.cpp
+++ b/Source/replay/SessionRun.cpp
@@ -1,5 +1,6 @@
 #include "replay/Session.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace papayabend::replay {
@@ -41,6 +42,15 @@
             + (it == world.upstreamsByAddress.end() ? attempt.address : world.upstreams[it->second].name);
     }
 
+    // A process that takes a table with a lower number than it had in force breaks guarantee G8.
+    void countReverts(Printer& printer, const Host& host, std::map<std::string, uint64_t>& versions)
+    {
+        auto& version = versions[host.name + "/" + std::to_string(host.incarnation)];
+        auto present = host.engine->table()->version;
+        printer.counters["tableReverts"] += present < version;
+        version = present;
+    }
+
     void record(World& world, Printer& printer)
     {
         auto& recorder = world.recorder;
@@ -85,8 +95,10 @@
             printer.line(it, host.name,
                 "ended " + describeTarget(it, attempt) + ": " + std::string(routing::toString(result.status)));
         };
-        recorder.stateChanged = [&](const World& it, const Host& host, const engine::StateChange& change) {
+        recorder.stateChanged = [&, versions = std::map<std::string, uint64_t>()](
+                                    const World& it, const Host& host, const engine::StateChange& change) mutable {
             ++printer.counters["stateChanges"];
+            countReverts(printer, host, versions);
             printer.line(it, host.name, "state " + change.component + ": " + change.text);
         };
         recorder.violated
@@ -109,6 +121,12 @@
         printer.counters["started." + upstream.name] = upstream.callsStarted;
     }
     printer.counters["bodiesRun"] = world.executions.size();
+    uint64_t lowest = UINT64_MAX;
+    for (const auto& host : world.hosts) {
+        if (host.engine)
+            lowest = std::min(lowest, host.engine->table()->version);
+    }
+    printer.counters["tableLowest"] = lowest;
     printer.counters["platformReads"] = world.platform.reads;
     SessionResult result { std::move(printer.output), std::move(world.violationTexts) };
     for (const auto& [name, bounds] : session.required) {
