engine: Record every caller's request for the burn report

Cause: the report had no input. Change: the engine remembers account, service and time of each request and records the reply it returns, whatever event led to it; Engine::report() adds the granted rates. Forwarded requests count at the host that forwards.

--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -22,6 +22,7 @@
     , m_admission(m_shared, settings.admission, settings.quotas)
     , m_control(m_shared)
     , m_quarantine(m_shared)
+    , m_report(m_shared)
 {
 }
 
@@ -35,12 +36,14 @@
 
 Actions Engine::submitSearch(query::SearchRequest request, base::TimePoint now)
 {
+    m_report.started(request.id, request.account, request.service, now);
     auto ready = readiness(now);
     if (!ready.canServe)
-        return { ReplyRefusal { request.id, { ready.code, base::Verdict::NotRun, ready.reason, notReadyDelay } } };
+        return m_report.observed(
+            { ReplyRefusal { request.id, { ready.code, base::Verdict::NotRun, ready.reason, notReadyDelay } } }, now);
     auto actions = perform(m_admission.refresh(now), now);
     append(actions, perform(m_admission.submitSearch(std::move(request), now), now));
-    return actions;
+    return m_report.observed(std::move(actions), now);
 }
 
 TicketReply Engine::issueTicket(std::string_view account, std::string_view service, base::TimePoint now)
@@ -57,26 +60,35 @@
     auto account = request.account;
     auto service = request.service;
     auto deadline = request.deadline;
+    if (request.kind == execution::ExecutionKind::Run && !request.isForwarded)
+        m_report.started(id, account, service, now);
     auto step = m_executions.start(std::move(request), now);
     bool wantsAdmission = step.wantsAdmission;
     auto actions = perform(std::move(step), now);
     if (!wantsAdmission)
-        return actions;
+        return m_report.observed(std::move(actions), now);
     auto ready = readiness(now);
     if (!ready.canServe) {
         append(actions,
             perform(m_executions.refused(id, { ready.code, base::Verdict::NotRun, ready.reason, {} }, now), now));
-        return actions;
+        return m_report.observed(std::move(actions), now);
     }
     append(actions, perform(m_admission.refresh(now), now));
     append(
         actions, perform(m_admission.submitExecution(id, std::move(account), std::move(service), deadline, now), now));
-    return actions;
+    return m_report.observed(std::move(actions), now);
 }
 
 Actions Engine::forwardFinished(routing::RequestId id, execution::ForwardReply reply, base::TimePoint now)
 {
-    return perform(m_executions.forwardFinished(id, std::move(reply), now), now);
+    return m_report.observed(perform(m_executions.forwardFinished(id, std::move(reply), now), now), now);
+}
+
+report::Report Engine::report(base::TimePoint now)
+{
+    return m_report.report(now, [this](std::string_view account, std::string_view service) {
+        return m_admission.admission().granted(account, service);
+    });
 }
 
 Actions Engine::endedRequests(std::span<const routing::RequestId> ended, base::TimePoint now)
@@ -140,23 +152,23 @@
     auto actions = perform(m_executions.attemptFinished(result, now), now);
     append(actions, performSearch(m_searches.attemptFinished(result, now), now));
     append(actions, m_quarantine.announce(now));
-    return actions;
+    return m_report.observed(std::move(actions), now);
 }
 
 Actions Engine::timerExpired(routing::RequestId id, base::TimePoint now)
 {
     if (AdmissionPath::isQueueTimer(id))
-        return perform(m_admission.queueTimerExpired(id, now), now);
+        return m_report.observed(perform(m_admission.queueTimerExpired(id, now), now), now);
     auto actions = perform(m_executions.timerExpired(id, now), now);
     append(actions, performSearch(m_searches.timerExpired(id, now), now));
-    return actions;
+    return m_report.observed(std::move(actions), now);
 }
 
 Actions Engine::valuePublished(std::string_view key, std::string_view text, base::TimePoint now)
 {
     auto actions = m_control.valuePublished(key, text, now);
     append(actions, perform(m_admission.refresh(now), now));
-    return actions;
+    return m_report.observed(std::move(actions), now);
 }
 
 Actions Engine::hostListPublished(std::string_view text, base::TimePoint now)
@@ -175,7 +187,7 @@
     auto actions = m_control.peerMessage(message, now);
     append(actions, perform(m_admission.refresh(now), now));
     append(actions, perform(m_admission.peerMessage(message, now), now));
-    return actions;
+    return m_report.observed(std::move(actions), now);
 }
 
 Actions Engine::tick(base::TimePoint now)
@@ -185,7 +197,8 @@
     append(actions, perform(m_admission.tick(now), now));
     append(actions, m_quarantine.tick(now));
     m_shared.upstreams.setServingHosts(static_cast<uint32_t>(m_shared.hostView.load()->hosts.size()));
-    return actions;
+    m_report.tick(now);
+    return m_report.observed(std::move(actions), now);
 }
 
 }
--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -5,6 +5,7 @@
 #include "papayabend/engine/ControlPath.h"
 #include "papayabend/engine/ExecutionPath.h"
 #include "papayabend/engine/QuarantineExchange.h"
+#include "papayabend/engine/ReportPath.h"
 #include "papayabend/engine/SearchPath.h"
 #include "papayabend/engine/SharedState.h"
 
@@ -72,6 +73,8 @@
     std::shared_ptr<const table::Table> table() const { return m_shared.table.load(); }
     std::shared_ptr<const membership::HostView> hostView() const { return m_shared.hostView.load(); }
     const membership::HostIdentity& identity() const { return m_shared.identity; }
+    /** Returns the service-level burn of the requests that callers sent to this host. */
+    report::Report report(base::TimePoint now);
     admission::Admission& admission() { return m_admission.admission(); }
     const execution::TicketBook& tickets() const { return m_executions.book(); }
 
@@ -87,6 +90,7 @@
     AdmissionPath m_admission;
     ControlPath m_control;
     QuarantineExchange m_quarantine;
+    ReportPath m_report;
     std::atomic<routing::RequestId> m_lastRequest { 0 };
 };
 
--- /dev/null
+++ b/Tests/report/EngineReportTest.cpp
@@ -0,0 +1,38 @@
+#include "replay/Deployment.h"
+#include "replay/Load.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace std::chrono_literals;
+
+TEST_GROUP(EngineReport) {};
+
+// Guards against requests that a host answers or refuses and its report does not count, or counts twice.
+TEST(EngineReport, CountsEveryRequestOnce)
+{
+    replay::World world;
+    auto deployment = replay::muscat();
+    replay::setUp(world, deployment);
+    auto from = world.now;
+    replay::setArrivals(world,
+        { { "muscat", "fitting-desk", 200, 500ms, {}, "f" }, { "stranger", "fitting-desk", 50, 500ms, {}, "x" } },
+        from + 2s);
+    replay::run(world, from + 4s);
+    std::vector<report::Report> reports;
+    for (auto& host : world.hosts)
+        reports.push_back(host.engine->report(world.now));
+    auto merged = report::mergeReports(reports);
+    uint64_t requests = 0;
+    uint64_t answered = 0;
+    for (const auto& line : merged.lines) {
+        requests += line.total.answered;
+        answered += line.total.answered;
+        for (const auto& [code, count] : line.refusals)
+            requests += count;
+    }
+    replay::Collector collector(world, deployment, from, from + 2s);
+    LONGS_EQUAL(world.requests.size(), requests);
+    LONGS_EQUAL(collector.outcome().answered, answered);
+    CHECK(answered > 300 && requests > answered);
+}
