--- a/Source/replay/Checks.cpp
+++ b/Source/replay/Checks.cpp
@@ -100,19 +100,47 @@
 
 void checkRefusal(World& world, const Request& request, const base::Refusal& refusal)
 {
-    if (refusal.verdict == base::Verdict::NotRun && request.callsStarted > 0)
+    if (refusal.verdict != base::Verdict::NotRun)
+        return;
+    if (request.kind == RequestKind::Search ? request.callsStarted > 0 : world.executions.contains(request.body))
         violate(world, describe(request) + ": refused as not run, but an upstream ran it");
+    if (request.kind != RequestKind::Search)
+        world.executionsNotRun.insert(request.body);
+}
+
+void checkExecuted(World& world, const Request& request, const std::string& body)
+{
+    if (body != "done " + request.body)
+        violate(world, describe(request) + ": answered with " + body);
+    if (!world.executions.contains(request.body))
+        violate(world, describe(request) + ": answered, but no upstream ran it");
+}
+
+void checkOutcome(World& world, const Request& request, const execution::OutcomeAnswer& answer)
+{
+    if (answer.verdict == base::Verdict::Ran)
+        checkExecuted(world, request, answer.body);
+    if (answer.verdict == base::Verdict::NotRun) {
+        if (world.executions.contains(request.body))
+            violate(world, describe(request) + ": told that it has not run, but an upstream ran it");
+        world.executionsNotRun.insert(request.body);
+    }
 }
 
 void checkStart(World& world, const Call& call)
 {
     const auto& request = world.requests[call.request];
-    if (request.outcome == RequestOutcome::Refused && request.verdict == base::Verdict::NotRun)
+    if (request.kind == RequestKind::Search && request.outcome == RequestOutcome::Refused
+        && request.verdict == base::Verdict::NotRun)
         violate(world, describe(request) + ": refused as not run, but an upstream runs it now");
     if (call.attempt.body != request.body)
         violate(world, describe(request) + ": an attempt carries another body");
-    if (call.attempt.isExecution && ++world.executions[call.attempt.body] > 1)
+    if (!call.attempt.isExecution)
+        return;
+    if (++world.executions[call.attempt.body] > 1)
         violate(world, describe(request) + ": execution runs again");
+    if (world.executionsNotRun.contains(call.attempt.body))
+        violate(world, describe(request) + ": runs after a caller was told that it has not run");
 }
 
 void checkNoSilentLoss(World& world)
--- a/Source/replay/Internal.h
+++ b/Source/replay/Internal.h
@@ -24,10 +24,31 @@
 /** Forgets the calls of a host that died; the upstreams see their connections end. */
 void dropCallsOf(World&, Host&);
 
-void readPlatform(World&, Host&, const std::string& key, uint64_t after);
+void readPlatform(World&, Host&, const engine::ReadPlatform&);
 void platformAnswers(World&, uint32_t slot);
+void platformWaitEnds(World&, uint32_t slot);
+/** Changes the host list after its lag. */
+void listHost(World&, uint32_t host, bool isListed);
+
+void sendPeerMessage(World&, Host&, engine::SendPeerMessage&&);
+void peerMessageArrives(World&, uint32_t host, uint32_t slot);
+void tickHost(World&, Host&);
+
+/** Lets the caller obtain its ticket and send its execution. */
+void executionRequested(World&, Host&, Request&);
+void executionArrives(World&, uint32_t request);
+void forwardExecution(World&, Host&, engine::ForwardExecution&&);
+void forwardArrives(World&, uint32_t forward);
+void forwardReplyArrives(World&, uint32_t forward);
+/** Sends the reply of a forwarded request back to its origin; returns whether \a id is one. */
+bool replyToForward(World&, Host&, routing::RequestId id, execution::ForwardReply);
+/** Lets the origins of forwards that a dead host held learn that the outcome is unknown. */
+void dropForwardsOf(World&, Host&);
+void refuse(World&, Request&, const base::Refusal&);
 
 void checkAnswer(World&, const Request&, const query::SearchAnswer&);
+void checkExecuted(World&, const Request&, const std::string& body);
+void checkOutcome(World&, const Request&, const execution::OutcomeAnswer&);
 void checkRefusal(World&, const Request&, const base::Refusal&);
 /** Records that a fake starts to run a call. */
 void checkStart(World&, const Call&);
--- a/Tests/replay/WorldTest.cpp
+++ b/Tests/replay/WorldTest.cpp
@@ -14,15 +14,23 @@
         "services":[{"name":"s","snapshots":[{"id":1,"shards":[
             {"name":"s0","units":10,"replicas":["a0","b0"]},{"name":"s1","units":10,"replicas":["a0","b0"]}]}]}]})";
 
+    static constexpr auto tableText = "version,1\naccount,s\nacc,weight=1\n";
+
     replay::World world;
     std::vector<query::SearchAnswer> answers;
 
+    static void serve(replay::World & it)
+    {
+        replay::addHost(it, "h0", "a");
+        replay::publish(it, "table", tableText);
+        replay::publish(it, "catalog", catalogText);
+        replay::startHost(it, 0);
+        replay::run(it, replay::startTime + 3s);
+    }
+
     void setup() override
     {
-        replay::addHost(world, "h0", "a");
-        replay::publish(world, "catalog", catalogText);
-        replay::startHost(world, 0);
-        replay::run(world, replay::startTime + 10ms);
+        serve(world);
         world.recorder.answered = [this](const auto&, const auto&, const auto& answer) { answers.push_back(answer); };
     }
 
@@ -45,7 +53,7 @@
     LONGS_EQUAL(1, answers.size());
     CHECK(query::isComplete(answers[0].coverage));
     LONGS_EQUAL(0, world.violations);
-    LONGS_EQUAL(2, world.callsSent);
+    LONGS_EQUAL(2, world.requests[0].callsSent);
 }
 
 // Guards against figures that cannot be repeated.
@@ -55,10 +63,7 @@
     replay::run(world, world.now + 3s);
     auto first = world.requests[0].finishedAt;
     replay::World again;
-    replay::addHost(again, "h0", "a");
-    replay::publish(again, "catalog", catalogText);
-    replay::startHost(again, 0);
-    replay::run(again, replay::startTime + 10ms);
+    serve(again);
     replay::submit(again, [&] {
         replay::Request request;
         request.account = "acc";
