--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -4,15 +4,18 @@
 
 namespace papayabend::engine {
 
-Engine::Engine(uint64_t seed)
-    : m_searches(m_shared)
+Engine::Engine(uint64_t seed, membership::HostIdentity identity)
+    : m_shared(seed, std::move(identity))
+    , m_searches(m_shared)
     , m_control(m_shared)
 {
-    m_shared.seed = seed;
+    configureRouting({});
 }
 
 void Engine::configureRouting(routing::RoutingSettings settings)
 {
+    if (settings.ownFailureDomain.empty())
+        settings.ownFailureDomain = m_shared.identity.failureDomain;
     m_shared.routing.quarantine.configure(settings.crashes);
     m_shared.upstreams.configure(std::move(settings));
 }
@@ -51,4 +54,21 @@
     return m_control.valuePublished(key, text, now);
 }
 
+Actions Engine::hostListPublished(std::string_view text, base::TimePoint now)
+{
+    return m_control.hostListPublished(text, now);
+}
+
+Actions Engine::platformReadEnded(std::string_view key, ReadStatus status, base::TimePoint now)
+{
+    return m_control.platformReadEnded(key, status, now);
+}
+
+Actions Engine::peerMessage(const PeerMessage& message, base::TimePoint now)
+{
+    return m_control.peerMessage(message, now);
+}
+
+Actions Engine::tick(base::TimePoint now) { return m_control.tick(now); }
+
 }
