query: Let only as many searches run as the scarcest shard can serve

Cause: at 2 and 3 times capacity every search held answers of some shards and waited for slots of the others until its deadline. Change: a gate for each service bounds running searches to twice the calls that the scarcest shard may have in flight. Others wait, the newest first when more wait than may run, and are refused as not run when the usual search time no longer fits.

--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -1,7 +1,6 @@
 #include "papayabend/engine/SearchPath.h"
 
-#include <algorithm>
-#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace papayabend::engine {
@@ -26,9 +25,8 @@
     return { m_shared.upstreams, m_shared.routing, m_shared.catalog.load(), running.random, running.lastAttempt };
 }
 
-Actions SearchPath::perform(Searches::accessor& accessor, query::SearchStep&& step)
+void SearchPath::perform(Searches::accessor& accessor, query::SearchStep&& step, Actions& actions)
 {
-    Actions actions;
     auto id = accessor->first;
     for (auto attempt : step.cancel)
         actions.emplace_back(CancelAttempt { attempt });
@@ -43,9 +41,42 @@
         actions.emplace_back(ReplySearch { id, std::move(*step.answer) });
     if (step.refusal)
         actions.emplace_back(ReplyRefusal { id, std::move(*step.refusal) });
-    if (step.answer || step.refusal)
-        m_searches.erase(accessor);
-    return actions;
+    if (!step.answer && !step.refusal)
+        return;
+    auto service = accessor->second->search.request.service;
+    auto wasRunning = accessor->second->isRunning;
+    m_searches.erase(accessor);
+    if (wasRunning)
+        m_gate.leave(service);
+}
+
+uint32_t SearchPath::limitOf(const std::string& service)
+{
+    auto catalog = m_shared.catalog.load();
+    const auto* known = catalog::findService(*catalog, service);
+    // An unknown service is refused at once and needs no limit.
+    return known ? query::searchLimit(m_shared.upstreams, *catalog, *known) : std::numeric_limits<uint32_t>::max();
+}
+
+void SearchPath::run(Searches::accessor& accessor, Actions& actions, base::TimePoint now)
+{
+    auto running = accessor->second;
+    running->isRunning = true;
+    running->search.catalog = m_shared.catalog.load();
+    auto context = contextOf(*running);
+    perform(accessor, query::startSearch(running->search, context, now), actions);
+}
+
+void SearchPath::runWaiting(const std::string& service, Actions& actions, base::TimePoint now)
+{
+    auto limit = limitOf(service);
+    while (auto id = m_gate.next(service, limit)) {
+        Searches::accessor accessor;
+        if (m_searches.find(accessor, *id))
+            run(accessor, actions, now);
+        else
+            m_gate.leave(service);
+    }
 }
 
 void SearchPath::waitFor(const std::vector<catalog::UpstreamId>& upstreams, routing::RequestId id)
@@ -85,8 +116,10 @@
             continue;
         auto running = accessor->second;
         auto context = contextOf(*running);
-        auto more = perform(accessor, query::slotFreed(running->search, context, now));
-        std::ranges::move(more, std::back_inserter(actions));
+        auto service = running->search.request.service;
+        perform(accessor, query::slotFreed(running->search, context, now), actions);
+        accessor.release();
+        runWaiting(service, actions, now);
     }
 }
 
@@ -95,42 +128,58 @@
     auto id = request.id;
     auto running = std::make_shared<RunningSearch>();
     running->search.request = std::move(request);
-    running->search.catalog = m_shared.catalog.load();
     running->random.seed(m_shared.seed ^ id);
     running->lastAttempt = id << attemptCounterBits;
-    m_shared.upstreams.catalogSeen(*running->search.catalog, now);
-    Searches::accessor accessor;
-    m_searches.insert(accessor, { id, running });
-    auto context = contextOf(*running);
+    auto catalog = m_shared.catalog.load();
+    m_shared.upstreams.catalogSeen(*catalog, now);
     Actions actions;
-    for (auto& probe : routing::dueProbes(m_shared.upstreams, *running->search.catalog, id, m_lastProbe, now))
+    for (auto& probe : routing::dueProbes(m_shared.upstreams, *catalog, id, m_lastProbe, now))
         actions.emplace_back(SendAttempt { std::move(probe) });
-    std::ranges::move(
-        perform(accessor, query::startSearch(running->search, context, now)), std::back_inserter(actions));
+    const auto& service = running->search.request.service;
+    Searches::accessor accessor;
+    m_searches.insert(accessor, { id, running });
+    if (m_gate.enter(service, id, limitOf(service)))
+        run(accessor, actions, now);
+    else
+        actions.emplace_back(SetTimer { id, query::latestStart(running->search.request, m_shared.routing) });
+    accessor.release();
+    runWaiting(service, actions, now);
     return actions;
 }
 
 Actions SearchPath::attemptFinished(const routing::AttemptResult& result, base::TimePoint now)
 {
     Actions actions;
+    std::string service;
     if (Searches::accessor accessor; m_searches.find(accessor, result.request)) {
         auto running = accessor->second;
+        service = running->search.request.service;
         auto context = contextOf(*running);
-        actions = perform(accessor, query::attemptFinished(running->search, context, result, now));
+        perform(accessor, query::attemptFinished(running->search, context, result, now), actions);
     }
     // No search is locked here, because a woken search is locked in turn.
     wake(result.upstream, actions, now);
+    if (!service.empty())
+        runWaiting(service, actions, now);
     return actions;
 }
 
 Actions SearchPath::timerExpired(routing::RequestId id, base::TimePoint now)
 {
+    Actions actions;
     Searches::accessor accessor;
     if (!m_searches.find(accessor, id))
-        return {};
+        return actions;
     auto running = accessor->second;
+    auto service = running->search.request.service;
     auto context = contextOf(*running);
-    return perform(accessor, query::timerExpired(running->search, context, now));
+    if (running->isRunning)
+        perform(accessor, query::timerExpired(running->search, context, now), actions);
+    else
+        perform(accessor, query::refuseWaiting(running->search, context, now), actions);
+    accessor.release();
+    runWaiting(service, actions, now);
+    return actions;
 }
 
 }
--- a/Source/papayabend/engine/SearchPath.h
+++ b/Source/papayabend/engine/SearchPath.h
@@ -4,12 +4,14 @@
 #include "papayabend/engine/Action.h"
 #include "papayabend/engine/SharedState.h"
 #include "papayabend/query/Search.h"
+#include "papayabend/query/SearchGate.h"
 
 #include <atomic>
 #include <deque>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <tbb/concurrent_hash_map.h>
 #include <vector>
 
@@ -31,11 +33,19 @@
         query::Search search;
         base::Random random;
         routing::AttemptId lastAttempt { 0 };
+        bool isRunning { false }; /**< Not while it waits at the gate. */
     };
     using Searches = tbb::concurrent_hash_map<routing::RequestId, std::shared_ptr<RunningSearch>>;
 
     query::SearchContext contextOf(RunningSearch&);
-    Actions perform(Searches::accessor&, query::SearchStep&&);
+    void perform(Searches::accessor&, query::SearchStep&&, Actions&);
+
+    /** Starts a search that the gate has let in. */
+    void run(Searches::accessor&, Actions&, base::TimePoint now);
+
+    /** Starts waiting searches of a service as far as its limit allows. */
+    void runWaiting(const std::string& service, Actions&, base::TimePoint now);
+    uint32_t limitOf(const std::string& service);
 
     /** Lets waiting searches use the free slots of an upstream, first come first served. */
     void wake(catalog::UpstreamId, Actions&, base::TimePoint now);
@@ -44,6 +54,7 @@
 
     SharedState& m_shared;
     Searches m_searches;
+    query::SearchGate m_gate;
     std::atomic<routing::AttemptId> m_lastProbe;
     std::mutex m_waitingMutex;
     std::vector<std::deque<routing::RequestId>> m_waiting; /**< By number of the upstream. */
--- a/Source/papayabend/query/Search.cpp
+++ b/Source/papayabend/query/Search.cpp
@@ -20,6 +20,7 @@
 
     // A restart has to send a whole search again, so it needs more time than one attempt.
     constexpr int restartTimeFactor = 3;
+    constexpr double startQuantile = 0.9;
     constexpr base::Duration waitingCheckPeriod = std::chrono::milliseconds(20);
 
     bool isSettled(const ShardProgress& progress)
@@ -51,6 +52,9 @@
                                                        : progress.lastFailure });
             }
         }
+        // A search that the deadline ended would have taken longer by an unknown time.
+        auto isCutOff = now >= search.request.deadline;
+        context.routing.searchTimes.record(search.request.service, (now - search.startedAt) * (isCutOff ? 2 : 1));
         keepBestHits(answer.hits, search.request.maxHits);
         search.phase = SearchPhase::Finished;
         step.answer = std::move(answer);
@@ -253,6 +257,21 @@
 
 }
 
+base::TimePoint latestStart(const SearchRequest& request, const routing::RoutingState& routing)
+{
+    auto usual = routing.searchTimes.quantile(request.service, startQuantile, base::Duration::zero());
+    // An estimate above the deadline must not refuse all searches, or it would never be corrected.
+    return request.deadline - std::min(usual, (request.deadline - request.received) / 2);
+}
+
+SearchStep refuseWaiting(Search& search, SearchContext& context, base::TimePoint now)
+{
+    SearchStep step;
+    refuse(search, context, base::RefusalCode::Overloaded, "too many searches of " + search.request.service, step, now);
+    step.refusal->retryAfter = std::chrono::seconds(1);
+    return step;
+}
+
 SearchStep startSearch(Search& search, SearchContext& context, base::TimePoint now)
 {
     SearchStep step;
@@ -272,6 +291,7 @@
         refuse(search, context, base::RefusalCode::NoUpstream, "no snapshot of " + request.service, step, now);
         return step;
     }
+    search.startedAt = now;
     pin(search, *snapshot);
     begin(search, context, step, now);
     settle(search, context, step, now);
--- a/Source/papayabend/query/Search.h
+++ b/Source/papayabend/query/Search.h
@@ -94,6 +94,7 @@
     SearchAnswer answer;
     SearchPhase phase { SearchPhase::FanOut };
     uint64_t fingerprint { 0 };
+    base::TimePoint startedAt {};
     bool isProven { false }; /**< An upstream has answered the fingerprint before. */
     bool wasRestarted { false };
     base::Verdict verdict { base::Verdict::NotRun }; /**< Of all ended attempts together. */
@@ -114,6 +115,12 @@
     routing::AttemptId& lastAttempt;
 };
 
+/** Returns the time after which a search that has not started could no longer be answered in time. */
+base::TimePoint latestStart(const SearchRequest&, const routing::RoutingState&);
+
+/** Refuses a search that waited too long to start, as not run. */
+SearchStep refuseWaiting(Search&, SearchContext&, base::TimePoint now);
+
 /** Pins a snapshot and sends the first attempts. */
 SearchStep startSearch(Search&, SearchContext&, base::TimePoint now);
 SearchStep attemptFinished(Search&, SearchContext&, const routing::AttemptResult&, base::TimePoint now);
--- a/Source/papayabend/routing/RoutingSettings.h
+++ b/Source/papayabend/routing/RoutingSettings.h
@@ -88,7 +88,8 @@
     std::string ownFailureDomain;
     double remoteDomainWeight { 1.5 }; /**< Cost of another failure domain over that of the own one. */
     std::map<std::string, double> domainWeights; /**< Overrides remoteDomainWeight by failure domain. */
-    bool limitInFlight { true };
+    bool limitInFlight { true }; /**< Of calls to an upstream and of searches of a service. */
+    double searchesPerCall { 2 }; /**< Running searches over calls that the scarcest shard may have in flight. */
     double connectionShare { 0.9 }; /**< Part of an upstream's connection limit that all hosts use together. */
     uint32_t servingHosts { 8 }; /**< Hosts that share an upstream, until the host view gives their number. */
     HedgingSettings hedging;
--- a/Source/papayabend/routing/RoutingState.h
+++ b/Source/papayabend/routing/RoutingState.h
@@ -10,7 +10,8 @@
  * \brief What all searches of a host share besides the upstream table. Every member may be used by several threads.
  */
 struct RoutingState {
-    ServiceLatencies latencies;
+    ServiceLatencies latencies; /**< Of attempts. */
+    ServiceLatencies searchTimes; /**< Of searches from their first attempt to their end. */
     ExtraBudget hedges;
     ExtraBudget retries;
     Quarantine quarantine;
