--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -25,10 +25,13 @@
     , m_quarantine(m_shared)
     , m_report(m_shared)
 {
+    configureRouting({});
 }
 
 void Engine::configureRouting(routing::RoutingSettings settings)
 {
+    if (settings.ownFailureDomain.empty())
+        settings.ownFailureDomain = m_shared.identity.failureDomain;
     m_shared.routing.quarantine.configure(settings.crashes);
     m_shared.upstreams.configure(std::move(settings));
 }
