--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -9,6 +9,7 @@
 
     // Attempt numbers are the request number followed by a counter, so that they are unique in the process.
     constexpr unsigned attemptCounterBits = 16;
+    constexpr routing::RequestId noRequest = 0;
     // Probes belong to no request; their numbers start above those of all requests.
     constexpr routing::AttemptId firstProbe = routing::AttemptId { 1 } << 63;
 
@@ -133,8 +134,7 @@
     auto catalog = m_shared.catalog.load();
     m_shared.upstreams.catalogSeen(*catalog, now);
     Actions actions;
-    for (auto& probe : routing::dueProbes(m_shared.upstreams, *catalog, id, m_lastProbe, now))
-        actions.emplace_back(SendAttempt { std::move(probe) });
+    addProbes(*catalog, actions, now);
     const auto& service = running->search.request.service;
     Searches::accessor accessor;
     m_searches.insert(accessor, { id, running });
@@ -164,6 +164,12 @@
     return actions;
 }
 
+void SearchPath::addProbes(const catalog::Catalog& catalog, Actions& actions, base::TimePoint now)
+{
+    for (auto& probe : routing::dueProbes(m_shared.upstreams, catalog, noRequest, m_lastProbe, now))
+        actions.emplace_back(SendAttempt { std::move(probe) });
+}
+
 Actions SearchPath::tick(base::TimePoint now)
 {
     Actions actions;
--- a/Source/papayabend/engine/SearchPath.h
+++ b/Source/papayabend/engine/SearchPath.h
@@ -49,6 +49,8 @@
     void runWaiting(const std::string& service, Actions&, base::TimePoint now);
     uint32_t limitOf(const std::string& service);
 
+    void addProbes(const catalog::Catalog&, Actions&, base::TimePoint now);
+
     /** Lets waiting searches use the free slots of an upstream, first come first served. */
     void wake(catalog::UpstreamId, Actions&, base::TimePoint now);
     void waitFor(const std::vector<catalog::UpstreamId>&, routing::RequestId);
