--- a/Source/papayabend/transport/PeerCodec.cpp
+++ b/Source/papayabend/transport/PeerCodec.cpp
@@ -58,6 +58,15 @@
         }
     }
 
+    base::RefusalCode refusalCodeOf(std::string_view name)
+    {
+        for (auto n = 0U; n <= static_cast<unsigned>(base::RefusalCode::Internal); ++n) {
+            if (base::toString(static_cast<base::RefusalCode>(n)) == name)
+                return static_cast<base::RefusalCode>(n);
+        }
+        return base::RefusalCode::OutcomeUnknown;
+    }
+
     void encode(const HostObservation& it, protocol::HostObservation& wire)
     {
         wire.set_name(it.name);
@@ -155,11 +164,14 @@
         wire.set_crashes(it.crashes);
         wire.set_quarantined(it.isQuarantined);
         wire.set_validity_us(it.validityUs);
+        wire.set_lost_upstream(it.lostUpstream);
+        wire.set_shard(it.shard);
     }
 
     QuarantineNotice decode(const protocol::QuarantineNotice& wire)
     {
-        return { wire.fingerprint(), wire.crashes(), wire.quarantined(), wire.validity_us() };
+        return { wire.fingerprint(), wire.crashes(), wire.quarantined(), wire.validity_us(), wire.lost_upstream(),
+            wire.shard() };
     }
 
     void encode(const TicketRecord& it, protocol::TicketRecord& wire)
@@ -173,12 +185,14 @@
         wire.set_verdict(toWire(it.verdict));
         wire.set_body(it.body);
         wire.set_fingerprint(it.fingerprint);
+        wire.set_code(std::string(base::toString(it.code)));
     }
 
     TicketRecord decode(const protocol::TicketRecord& wire)
     {
         return { { wire.host(), wire.incarnation(), wire.sequence() }, wire.account(), wire.service(),
-            ticketStateOf(wire.state()), verdictOf(wire.verdict()), wire.body(), wire.fingerprint() };
+            ticketStateOf(wire.state()), verdictOf(wire.verdict()), wire.body(), wire.fingerprint(),
+            refusalCodeOf(wire.code()) };
     }
 
     template <typename Items, typename Wire> void encodeAll(const Items& items, Wire* wire)
--- a/Tests/engine/PeerCodecTest.cpp
+++ b/Tests/engine/PeerCodecTest.cpp
@@ -17,7 +17,7 @@
     message.valueRequests = { { "catalog", 13, 14 } };
     message.deltas = { { "hosts", 15, 16, 17, std::string("\0\xFF", 2) } };
     message.hosts = { message.sender, message.sender };
-    message.demand = { { "acct", "svc", 1.5, 2.5, 3.5 } };
+    message.demand = { { "acct", "svc", 1.5, 2.5, 3.5, 28 } };
     message.leases = { { 18, "l", "b", "acct", "svc", 4.5, 19 } };
     message.quarantine = { { 20, 2, true, 21 } };
     message.ticketRecords = { { { "h", 22, 23 }, "acct", "svc", execution::TicketState::Finished, base::Verdict::Ran,
@@ -32,7 +32,7 @@
     auto copy = transport::fromEnvelope(envelope);
     CHECK(copy.deltas[0].text == message.deltas[0].text);
     CHECK(copy.hosts.size() == 2 && copy.hosts[1].state == membership::HostState::Draining);
-    CHECK(copy.demand[0].backlog == 3.5 && copy.leases[0].validityUs == 19 && copy.quarantine[0].isQuarantined);
+    CHECK(copy.demand[0].backlog == 3.5 && copy.demand[0].serviceTimeUs == 28 && copy.leases[0].validityUs == 19 && copy.quarantine[0].isQuarantined);
     CHECK(copy.ticketRecords[0].verdict == base::Verdict::Ran && copy.answerTo == 10);
     CHECK(copy.demandSequence == 25 && copy.countsReceiver && copy.handOver == 26 && copy.handOverAck == 27);
     CHECK(copy.ticketRecords[0].fingerprint == 24 && copy.ticketRecords[0].code == base::RefusalCode::Overloaded);
