--- a/Source/replay/Scenario.h
+++ b/Source/replay/Scenario.h
@@ -71,5 +71,8 @@
 Figures measureControlSpread(const MeasureOptions&);
 Figures measureControlRestart(const MeasureOptions&);
 Figures measureControlOutage(const MeasureOptions&);
+Figures measureExecutions(const MeasureOptions&);
+Figures measureShares(const MeasureOptions&);
+Figures measureLimits(const MeasureOptions&);
 
 }
