--- a/Source/papayabend/transport/HttpExecution.cpp
+++ b/Source/papayabend/transport/HttpExecution.cpp
@@ -133,8 +133,8 @@
         }
         Json hosts = Json::array();
         for (const auto& host : answer.hosts)
-            hosts.push_back({ { "name", host.name }, { "address", host.callerAddress },
-                { "failureDomain", host.failureDomain } });
+            hosts.push_back(
+                { { "name", host.name }, { "address", host.callerAddress }, { "failureDomain", host.failureDomain } });
         auto timeToLive = std::chrono::floor<std::chrono::milliseconds>(answer.timeToLive);
         writeJson(response, { { "hosts", std::move(hosts) }, { "timeToLiveMs", timeToLive.count() } });
     }
--- a/Source/replay/ControlScenarios.cpp
+++ b/Source/replay/ControlScenarios.cpp
@@ -51,8 +51,8 @@
         double coreShare { 0 };
     };
 
-    // Mean cost of a host while values change at the design rate: a change of the table or the catalogue every 39 s
-    // and a restarted host every 21 s for 1,600 hosts.
+    // Mean cost of a host while values change at three times the design rate: a change of the table or the catalogue
+    // every 13 s, and while a host restarts every 21 s, the design rate for 1,600 hosts.
     Cost costOf(const MeasureOptions& options, size_t hosts, bool withChanges, Figures& figures)
     {
         auto settings = fleetOf(options, hosts);
--- a/Source/replay/ExecutionFleet.cpp
+++ b/Source/replay/ExecutionFleet.cpp
@@ -242,7 +242,8 @@
         result.upstream = action.attempt.upstream;
         result.status = AttemptStatus::Ran;
         result.load = routing::LoadReport {};
-        atHost(n, m_now + delay(), [this, n, result] { perform(n, m_hosts[n].engine->attemptFinished(result, m_now)); });
+        atHost(
+            n, m_now + delay(), [this, n, result] { perform(n, m_hosts[n].engine->attemptFinished(result, m_now)); });
         return;
     }
     // A ticket takes the first body that arrives; the other body of the same ticket must then not be sent.
--- a/Source/replay/ShareScenarios.cpp
+++ b/Source/replay/ShareScenarios.cpp
@@ -250,7 +250,9 @@
                 60 },
             { "callers move between hosts, partition from 30 s to 60 s", 8, 90,
                 { { "sul", limited,
-                    [](size_t host, int second) { return host == static_cast<size_t>(second / 7 % 8) ? 300.0 : 0.0; } } },
+                    [](size_t host, int second) {
+                        return host == static_cast<size_t>(second / 7 % 8) ? 300.0 : 0.0;
+                    } } },
                 30, 60 },
         };
     }
@@ -332,8 +334,8 @@
             auto sum = std::accumulate(passed.begin() + from, passed.begin() + until, uint64_t { 0 });
             return formatNumber(static_cast<double>(sum) / (until - from), 1);
         };
-        figures.rows.push_back({ test.name, formatNumber(limit, 0), std::to_string(most), mean(10, 30), mean(35, 60),
-            mean(65, 90) });
+        figures.rows.push_back(
+            { test.name, formatNumber(limit, 0), std::to_string(most), mean(10, 30), mean(35, 60), mean(65, 90) });
     }
     return figures;
 }
--- a/Tests/engine/PeerCodecTest.cpp
+++ b/Tests/engine/PeerCodecTest.cpp
@@ -32,7 +32,8 @@
     auto copy = transport::fromEnvelope(envelope);
     CHECK(copy.deltas[0].text == message.deltas[0].text);
     CHECK(copy.hosts.size() == 2 && copy.hosts[1].state == membership::HostState::Draining);
-    CHECK(copy.demand[0].backlog == 3.5 && copy.demand[0].serviceTimeUs == 28 && copy.leases[0].validityUs == 19 && copy.quarantine[0].isQuarantined);
+    CHECK(copy.demand[0].backlog == 3.5 && copy.demand[0].serviceTimeUs == 28 && copy.leases[0].validityUs == 19
+        && copy.quarantine[0].isQuarantined);
     CHECK(copy.ticketRecords[0].verdict == base::Verdict::Ran && copy.answerTo == 10);
     CHECK(copy.demandSequence == 25 && copy.countsReceiver && copy.handOver == 26 && copy.handOverAck == 27);
     CHECK(copy.ticketRecords[0].fingerprint == 24 && copy.ticketRecords[0].code == base::RefusalCode::Overloaded);
