--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -123,10 +123,11 @@
     return actions;
 }
 
-Actions SearchPath::tick(base::TimePoint now)
+Actions SearchPath::probe(routing::RequestId id, base::TimePoint now)
 {
     Actions actions;
-    addProbes(*m_shared.catalog.load(), actions, now);
+    for (auto& probe : routing::dueProbes(m_shared.upstreams, *m_shared.catalog.load(), id, m_lastProbe, now))
+        actions.emplace_back(SendAttempt { std::move(probe) });
     return actions;
 }
 
--- a/Source/replay/ExecutionCallers.cpp
+++ b/Source/replay/ExecutionCallers.cpp
@@ -9,7 +9,6 @@
 
 using namespace std::chrono_literals;
 using base::Duration;
-using base::RefusalCode;
 using base::Verdict;
 using execution::ExecutionKind;
 
--- a/Source/replay/Session.cpp
+++ b/Source/replay/Session.cpp
@@ -108,12 +108,26 @@
         }
     }
 
+    RequestKind kindOf(const std::string& name)
+    {
+        if (name == "search")
+            return RequestKind::Search;
+        if (name == "execute")
+            return RequestKind::Execute;
+        if (name == "queryOutcome")
+            return RequestKind::QueryOutcome;
+        throw std::out_of_range("unknown kind of request " + name);
+    }
+
     void parseRequests(World& world, const Json& json)
     {
         for (const auto& it : json) {
             auto count = it.value("count", 1);
             for (int n = 0; n < count; ++n) {
                 Request request;
+                request.kind = kindOf(it.value("kind", "search"));
+                if (it.contains("ticketOf"))
+                    request.ticketOf = it.at("ticketOf").get<uint32_t>() + n;
                 request.account = it.at("account").get<std::string>();
                 request.service = it.at("service").get<std::string>();
                 request.body = it.at("body").get<std::string>();
@@ -130,6 +144,7 @@
 
     void parseDelays(World& world, const Json& json)
     {
+        world.peerLoss = json.value("peerLoss", 0.0);
         world.localDelay = milliseconds(json.value("localMs", Json(0.2)));
         world.remoteDelay = milliseconds(json.value("remoteMs", Json(5)));
         world.callerDelay = milliseconds(json.value("callerMs", Json(1)));
