--- a/Source/papayabend/engine/Engine.cpp
+++ b/Source/papayabend/engine/Engine.cpp
@@ -71,6 +71,7 @@
     auto actions = perform(std::move(step), now);
     if (!wantsAdmission)
         return m_report.observed(std::move(actions), now);
+    append(actions, m_searches.probe(id, now));
     auto ready = readiness(now);
     if (!ready.canServe) {
         append(actions,
@@ -209,7 +210,6 @@
             m_executions.beginHandOver(now);
     }
     append(actions, m_executions.handOver(now));
-    append(actions, m_searches.tick(now));
     append(actions, perform(m_admission.tick(now), now));
     append(actions, m_quarantine.tick(now));
     m_shared.upstreams.setServingHosts(static_cast<uint32_t>(m_shared.hostView.load()->hosts.size()));
--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -9,7 +9,6 @@
 
     // Attempt numbers are the request number followed by a counter, so that they are unique in the process.
     constexpr unsigned attemptCounterBits = 16;
-    constexpr routing::RequestId noRequest = 0;
     // Probes belong to no request; their numbers start above those of all requests.
     constexpr routing::AttemptId firstProbe = routing::AttemptId { 1 } << 63;
 
@@ -133,8 +132,7 @@
     running->lastAttempt = id << attemptCounterBits;
     auto catalog = m_shared.catalog.load();
     m_shared.upstreams.catalogSeen(*catalog, now);
-    Actions actions;
-    addProbes(*catalog, actions, now);
+    auto actions = probe(id, now);
     const auto& service = running->search.request.service;
     Searches::accessor accessor;
     m_searches.insert(accessor, { id, running });
@@ -164,16 +162,11 @@
     return actions;
 }
 
-void SearchPath::addProbes(const catalog::Catalog& catalog, Actions& actions, base::TimePoint now)
-{
-    for (auto& probe : routing::dueProbes(m_shared.upstreams, catalog, noRequest, m_lastProbe, now))
-        actions.emplace_back(SendAttempt { std::move(probe) });
-}
-
-Actions SearchPath::tick(base::TimePoint now)
+Actions SearchPath::probe(routing::RequestId id, base::TimePoint now)
 {
     Actions actions;
-    addProbes(*m_shared.catalog.load(), actions, now);
+    for (auto& probe : routing::dueProbes(m_shared.upstreams, *m_shared.catalog.load(), id, m_lastProbe, now))
+        actions.emplace_back(SendAttempt { std::move(probe) });
     return actions;
 }
 
--- a/Source/papayabend/engine/SearchPath.h
+++ b/Source/papayabend/engine/SearchPath.h
@@ -27,8 +27,8 @@
     Actions start(query::SearchRequest, base::TimePoint now);
     Actions attemptFinished(const routing::AttemptResult&, base::TimePoint now);
     Actions timerExpired(routing::RequestId, base::TimePoint now);
-    /** Sends probes that are due, also while no search arrives. */
-    Actions tick(base::TimePoint now);
+    /** Sends the probes that are due; the arrival of a request of any kind is the occasion. */
+    Actions probe(routing::RequestId, base::TimePoint now);
 
 private:
     struct RunningSearch {
@@ -49,8 +49,6 @@
     void runWaiting(const std::string& service, Actions&, base::TimePoint now);
     uint32_t limitOf(const std::string& service);
 
-    void addProbes(const catalog::Catalog&, Actions&, base::TimePoint now);
-
     /** Lets waiting searches use the free slots of an upstream, first come first served. */
     void wake(catalog::UpstreamId, Actions&, base::TimePoint now);
     void waitFor(const std::vector<catalog::UpstreamId>&, routing::RequestId);
