admission: Divide a service by the serving hosts before they report

Change: until hosts have reported, each counts on an even part; the execution script asks longer than a ticket is valid, as 1 of 1,000,000 requests counted as unknown while its ticket was reported as unused.

--- a/Source/papayabend/admission/Admission.cpp
+++ b/Source/papayabend/admission/Admission.cpp
@@ -218,7 +218,7 @@
 void Admission::allocateService(ServiceState& state) const
 {
     auto& queue = state.queue;
-    auto hosts = static_cast<double>(std::max<size_t>(state.fleet.hosts(), 1));
+    auto hosts = static_cast<double>(std::max({ state.fleet.hosts(), m_servingHosts.load(), size_t { 1 } }));
     queue.window = static_cast<uint32_t>(std::max(std::ceil(state.slots * windowPerSlot), 1.0));
     auto serviceTime = state.fleet.serviceTime();
     if (!serviceTime && queue.serviceTime > base::Duration::zero())
--- a/Source/papayabend/admission/Admission.h
+++ b/Source/papayabend/admission/Admission.h
@@ -4,6 +4,7 @@
 #include "papayabend/admission/QuotaLedger.h"
 #include "papayabend/admission/Shares.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -37,6 +38,9 @@
     /** Takes the slots of the usable upstreams of a service. */
     void setSlots(std::string_view service, double slots);
 
+    /** Takes the number of hosts that serve the same services. Until they have reported, each counts on an even part. */
+    void setHosts(size_t hosts) { m_servingHosts.store(hosts); }
+
     /** Admits, queues or refuses a request. A refused one has not run. */
     AdmissionStep submit(std::string_view account, std::string_view service, const QueuedRequest&, base::TimePoint now);
 
@@ -89,6 +93,7 @@
     std::string m_host;
     AdmissionSettings m_settings;
     QuotaLedger m_quotas;
+    std::atomic<size_t> m_servingHosts { 1 };
     mutable std::shared_mutex m_servicesMutex;
     std::map<std::string, std::shared_ptr<ServiceState>, std::less<>> m_services;
     std::map<std::string, bool, std::less<>> m_accounts; /**< All rows of the table. */
--- a/Source/papayabend/engine/AdmissionPath.cpp
+++ b/Source/papayabend/engine/AdmissionPath.cpp
@@ -203,6 +203,7 @@
         if (std::ranges::find(serving, m_shared.identity.name) != serving.end())
             members.insert(serving.begin(), serving.end());
     }
+    m_admission.setHosts(members.size());
     m_admission.quotas().setListed(std::vector<std::string>(members.begin(), members.end()), now);
     auto reports = m_admission.takeReports(now);
     const auto* self = membership::findHost(*view, m_shared.identity.name);
--- a/Source/replay/ExecutionCallers.cpp
+++ b/Source/replay/ExecutionCallers.cpp
@@ -45,7 +45,7 @@
     auto& request = m_requests.emplace_back();
     request.body = "r" + std::to_string(n);
     request.sendsLeft = m_options.faults.resends ? 4 : 3;
-    request.queriesLeft = 6; // Longer than the validity of a ticket.
+    request.queriesLeft = 12; // Longer than the validity of a ticket.
     request.ticketTriesLeft = 10;
     m_byBody[request.body] = n;
     obtainTicket(n);
--- a/Source/replay/ShareScenarios.cpp
+++ b/Source/replay/ShareScenarios.cpp
@@ -75,6 +75,7 @@
                 m_names.push_back("h" + std::to_string(n));
                 m_hosts.push_back(std::make_unique<Admission>(
                     m_names.back(), admission::AdmissionSettings {}, admission::QuotaSettings {}));
+                m_hosts.back()->setHosts(test.hosts);
                 m_hosts.back()->setGrants(std::span(&grants, 1), m_now);
             }
         }
