--- a/Source/replay/Scenario.cpp
+++ b/Source/replay/Scenario.cpp
@@ -23,6 +23,8 @@
             measureExecutions },
         { "shares", "requests passed for each account over its grant, several hosts", measureShares },
         { "limits", "requests passed for an account with a limit, several hosts", measureLimits },
+        { "search-faults", "mixed snapshots, overstated coverage, wrong callers with faults", measureSearchFaults },
+        { "execution-faults", "duplicates, losses and unknown outcomes with faults", measureExecutionFaults },
     };
     return all;
 }
--- a/Source/replay/Scenario.h
+++ b/Source/replay/Scenario.h
@@ -74,5 +74,7 @@
 Figures measureExecutions(const MeasureOptions&);
 Figures measureShares(const MeasureOptions&);
 Figures measureLimits(const MeasureOptions&);
+Figures measureSearchFaults(const MeasureOptions&);
+Figures measureExecutionFaults(const MeasureOptions&);
 
 }
