--- a/Source/papayabend/report/Report.h
+++ b/Source/papayabend/report/Report.h
@@ -113,6 +113,8 @@
 std::string renderJson(const Report&);
 /** Returns a page that needs no other file. */
 std::string renderHtml(const Report&);
+/** Returns counters in the Prometheus text format, to be appended to the other metrics of a host. */
+std::string renderMetrics(const Report&);
 /** Reads what renderJson() wrote. Fails with the text of the first entry that is not valid. */
 std::optional<Report> parseReport(std::string_view json, base::LastReason& reason);
 
--- a/Tests/report/ReportTest.cpp
+++ b/Tests/report/ReportTest.cpp
@@ -47,6 +47,15 @@
         CHECK(report::latencyBucket(latency) < report::latencyBuckets);
 }
 
+// Guards against a metrics page that a label breaks, which hides every alert.
+TEST(Report, MetricsEscapeLabels)
+{
+    auto report = reportOf("h1", 10);
+    report.lines[0].account = "a\"b";
+    auto text = report::renderMetrics(report);
+    CHECK(text.find("papayabend_slo_answers_total{account=\"a\\\"b\",service=\"s\"} 10\n") != std::string::npos);
+}
+
 // Guards against an account name that runs as markup in an operator's browser.
 TEST(Report, HtmlEscapesNames)
 {
