--- a/Source/papayabend/engine/ExecutionPath.cpp
+++ b/Source/papayabend/engine/ExecutionPath.cpp
@@ -230,7 +230,8 @@
     const auto* service = catalog::findService(*catalog, request.service);
     if (!service || service->kind != catalog::ServiceKind::Pooled || now >= request.deadline)
         return false;
-    auto chosen = routing::chooseReplica(m_shared.upstreams, *catalog, service->pool, running.tried, running.random);
+    auto chosen
+        = routing::chooseReplica(m_shared.upstreams, *catalog, service->pool, running.tried, running.random, now);
     if (!chosen || !m_book.markSent(running.ticket))
         return false;
     routing::Attempt attempt;
@@ -242,7 +243,7 @@
     attempt.body = request.body;
     attempt.deadline = request.deadline + outcomeGrace;
     attempt.isExecution = true;
-    routing::attemptStarted(m_shared.upstreams, attempt);
+    routing::attemptStarted(m_shared.upstreams, attempt, now);
     running.tried.push_back(*chosen);
     running.openAttempt = attempt.id;
     running.phase = Phase::InFlight;
@@ -352,4 +353,57 @@
     return step;
 }
 
+void ExecutionPath::beginHandOver(base::TimePoint now)
+{
+    auto view = m_shared.hostView.load();
+    const auto& identity = m_shared.identity;
+    auto targets = execution::successors(*view, { identity.name, identity.incarnation, 0 }, execution::successorCount);
+    auto records = m_book.exportRecords(now);
+    std::scoped_lock lock(m_handOverMutex);
+    m_handOver = execution::beginHandOver(std::move(records), targets, now);
+}
+
+Actions ExecutionPath::handOver(base::TimePoint now)
+{
+    Actions actions;
+    std::scoped_lock lock(m_handOverMutex);
+    if (!m_handOver)
+        return actions;
+    auto view = m_shared.hostView.load();
+    const auto* self = membership::findHost(*view, m_shared.identity.name);
+    for (auto& batch : execution::batchesToSend(*m_handOver, now)) {
+        const auto* target = membership::findHost(*view, batch.target);
+        if (!target || !self)
+            continue;
+        SendPeerMessage send { target->peerAddress, {} };
+        send.message.sender = *self;
+        send.message.handOver = batch.number;
+        send.message.ticketRecords = std::move(batch.records);
+        actions.emplace_back(std::move(send));
+    }
+    return actions;
+}
+
+bool ExecutionPath::isHandedOver(base::TimePoint now)
+{
+    std::scoped_lock lock(m_handOverMutex);
+    return m_handOver && execution::isComplete(*m_handOver, now);
+}
+
+Actions ExecutionPath::peerMessage(const PeerMessage& message, base::TimePoint now)
+{
+    Actions actions;
+    if (message.handOver != 0) {
+        m_book.importRecords(message.ticketRecords, now);
+        SendPeerMessage send { message.sender.peerAddress, {} };
+        send.message.sender.name = m_shared.identity.name;
+        send.message.handOverAck = message.handOver;
+        actions.emplace_back(std::move(send));
+    }
+    std::scoped_lock lock(m_handOverMutex);
+    if (message.handOverAck != 0 && m_handOver)
+        execution::acknowledged(*m_handOver, message.sender.name, message.handOverAck);
+    return actions;
+}
+
 }
--- a/Source/replay/Policies.cpp
+++ b/Source/replay/Policies.cpp
@@ -1,44 +1,48 @@
 #include "replay/Scenario.h"
 
+#include "papayabend/routing/RoutingSettings.h"
+
 namespace papayabend::replay {
 
 namespace {
 
-    using Routing = routing::RoutingSettings;
+    using routing::RoutingSettings;
 
-    std::function<std::unique_ptr<engine::Engine>(const World&, const Host&)> engineWith(
-        const std::function<Routing()>& routing, bool hasAdmission)
+    Policy policyOf(std::string name, const RoutingSettings& settings, bool hasAdmission = true)
     {
-        return [routing, hasAdmission](const World& world, const Host& host) {
-            engine::EngineSettings settings;
-            settings.admission.enabled = hasAdmission;
+        auto makeEngine = [settings, hasAdmission](const World& world, const Host& host) {
+            engine::EngineSettings engineSettings;
+            engineSettings.admission.enabled = hasAdmission;
             auto engine = std::make_unique<engine::Engine>(
-                world.seed * 1'000'003 + host.index, identityOf(world, host), settings);
-            auto chosen = routing();
-            chosen.ownFailureDomain = world.domains[host.domain];
-            chosen.servingHosts = static_cast<uint32_t>(world.hosts.size());
-            engine->configureRouting(chosen);
+                world.seed * 1'000'003 + host.index, identityOf(world, host), engineSettings);
+            auto own = settings;
+            own.ownFailureDomain = world.domains[host.domain];
+            own.servingHosts = static_cast<uint32_t>(world.hosts.size());
+            engine->configureRouting(own);
             return engine;
         };
+        return { std::move(name), makeEngine };
     }
 
-    Routing withoutHedges()
+    Policy changed(std::string name, auto change)
     {
-        Routing settings;
-        settings.hedging.enabled = false;
-        return settings;
+        RoutingSettings settings;
+        change(settings);
+        return policyOf(std::move(name), settings);
     }
 
 }
 
 std::vector<Policy> policies()
 {
-    return {
-        { "baseline", engineWith(routing::plainBaseline, false) },
-        { "default", engineWith([] { return Routing(); }, true) },
-        { "no hedges", engineWith(withoutHedges, true) },
-        { "no admission", engineWith([] { return Routing(); }, false) },
-    };
+    using routing::CanaryMode;
+    return { policyOf("baseline", routing::plainBaseline(), false), policyOf("default", {}),
+        policyOf("no-admission", {}, false),
+        changed("no-canary", [](RoutingSettings& it) { it.crashes.canary = CanaryMode::Off; }),
+        changed("no-hedge", [](RoutingSettings& it) { it.hedging.enabled = false; }),
+        changed("least-in-flight", [](RoutingSettings& it) { it.policy = routing::Policy::LeastInFlight; }),
+        changed("affinity", [](RoutingSettings& it) { it.policy = routing::Policy::Affinity; }),
+        changed("no-limit", [](RoutingSettings& it) { it.limitInFlight = false; }) };
 }
 
 }
