settings: Read settings from JSON with comments

A process had three command-line options and no limits. Settings now come from one JSON file with comments.

--- /dev/null
+++ b/Source/papayabend/settings/Settings.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "papayabend/base/LastReason.h"
+#include "papayabend/base/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace papayabend::settings {
+
+/** \struct HostSettings
+ * \brief Name and place of this host and the addresses it listens on.
+ */
+struct HostSettings {
+    std::string name;
+    std::string failureDomain;
+    std::string region;
+    std::string callerAddress; /**< IP address and port for callers. */
+    std::string peerAddress; /**< IP address and port for other hosts. */
+    std::string operatorAddress; /**< IP address and port for operators. */
+};
+
+/** \struct PlatformSettings
+ * \brief The configuration service and the hosts to contact first.
+ */
+struct PlatformSettings {
+    std::string address; /**< IP address and port of the configuration service. */
+    std::vector<std::string> seedPeers; /**< Peer addresses of other hosts, used until the host list was read. */
+};
+
+/** \struct EntrySettings
+ * \brief Limits of an HTTP interface. They bound the memory and threads that callers can occupy.
+ */
+struct EntrySettings {
+    uint32_t threads { 32 }; /**< Requests that are handled at the same time. */
+    uint32_t queuedRequests { 1024 }; /**< Complete requests that wait for a thread. */
+    uint32_t connections { 4096 };
+    uint32_t bodyBytes { 64 * 1024 };
+    uint32_t bufferBytes { 64 * 1024 * 1024 }; /**< Bytes of incomplete requests over all connections. */
+    base::Duration idleTimeout { std::chrono::seconds(60) }; /**< For a connection between two requests. */
+    base::Duration readTimeout { std::chrono::seconds(5) }; /**< From the first byte of a request to its last. */
+    base::Duration writeTimeout { std::chrono::seconds(5) }; /**< For a client to take its answer. */
+    base::Duration maxDeadline { std::chrono::seconds(60) }; /**< Largest deadlineMs of a request. */
+};
+
+/** \struct UpstreamSettings
+ * \brief Connections to upstreams.
+ */
+struct UpstreamSettings {
+    uint32_t connectionsPerUpstream { 1 };
+    base::Duration connectTimeout { std::chrono::seconds(1) };
+    base::Duration minReconnectDelay { std::chrono::milliseconds(100) };
+    base::Duration maxReconnectDelay { std::chrono::seconds(5) };
+};
+
+struct RoutingSettings {
+    std::string policy { "twoChoices" }; /**< "random", "leastInFlight", "twoChoices" or "affinity". */
+    uint32_t connectionSharePercent { 90 }; /**< Part of an upstream's connection limit that all hosts use together. */
+};
+
+struct HedgingSettings {
+    bool enabled { true };
+    double budget { 0.05 }; /**< Extra over needed attempts. */
+};
+
+struct AdmissionSettings {
+    bool enabled { true };
+    uint32_t queueLength { 256 }; /**< Waiting requests for each client account and service. */
+};
+
+struct QuarantineSettings {
+    uint32_t crashes { 2 }; /**< Upstreams lost before a request is refused. */
+    base::Duration validity { std::chrono::minutes(10) };
+};
+
+/** \struct StopSettings
+ * \brief Phases of a planned stop.
+ */
+struct StopSettings {
+    base::Duration withdraw { std::chrono::seconds(5) }; /**< At least the time to live of an entry answer. */
+    base::Duration drain { std::chrono::seconds(30) };
+    base::Duration handOver { std::chrono::seconds(5) };
+};
+
+struct LogSettings {
+    std::string level { "info" };
+};
+
+/** \struct Settings
+ * \brief Everything that a process reads at its start.
+ */
+struct Settings {
+    HostSettings host;
+    PlatformSettings platform;
+    EntrySettings entry;
+    EntrySettings operators { .threads = 2, .queuedRequests = 64, .connections = 64, .bodyBytes = 1024 };
+    UpstreamSettings upstreams;
+    RoutingSettings routing;
+    HedgingSettings hedging;
+    AdmissionSettings admission;
+    QuarantineSettings quarantine;
+    StopSettings stop;
+    LogSettings log;
+};
+
+/** Parses JSON with comments. \a file is named in errors, which state key, value and allowed range. */
+std::optional<Settings> parseSettings(std::string_view text, std::string_view file, base::LastReason& reason);
+
+/** Reads and parses \a file. */
+std::optional<Settings> readSettings(const std::string& file, base::LastReason& reason);
+
+/** Returns the effective settings as JSON that parseSettings() accepts. */
+std::string toJson(const Settings&);
+
+}
