transport: Read connections without a thread each and open upstream channels ahead

The server loop of cpp-httplib gives every connection a thread until its keep-alive time ends, so as many idle connections as threads blocked all other callers. One thread now reads all connections into bounded buffers, and a pool of fixed size runs the routes of cpp-httplib on complete requests. Numbers of connections, waiting requests, body bytes and bytes of incomplete requests are settings.

The upstream client opens its channels from the catalogue, checks their state before a send and reports an attempt as not sent only if no byte was handed over. A status that the upstream sent is told apart from a lost connection. Adds counters in the Prometheus format and the read-only operator interface.

--- a/Source/papayabend/daemon/Main.cpp
+++ b/Source/papayabend/daemon/Main.cpp
@@ -1,7 +1,5 @@
-#include "papayabend/engine/Engine.h"
-#include "papayabend/transport/HttpEntry.h"
-#include "papayabend/transport/PlatformClient.h"
-#include "papayabend/transport/Shell.h"
+#include "papayabend/daemon/Daemon.h"
+#include "papayabend/settings/Settings.h"
 
 #include <boost/program_options.hpp>
 #include <exception>
@@ -11,25 +9,39 @@
 namespace {
 
 namespace options = boost::program_options;
+using namespace papayabend;
 
-int run(const options::variables_map& values)
+constexpr int exitUsage = 2;
+
+spdlog::level::level_enum levelOf(const std::string& level)
+{
+    return level == "warning" ? spdlog::level::warn : spdlog::level::from_str(level);
+}
+
+int checkSettings(const std::string& file)
 {
-    papayabend::engine::Engine engine(1);
-    papayabend::transport::Shell shell(engine);
-    papayabend::transport::PlatformClient platform(
-        values["platform"].as<std::string>(), "catalog", [&](const std::string& text) {
-            shell.perform(engine.valuePublished("catalog", text, papayabend::base::BootClock::now()));
-            return engine.catalog()->version;
-        });
-    papayabend::transport::HttpEntry entry(engine, shell);
-    auto port = values["port"].as<int>();
-    if (!entry.serve(values["ip"].as<std::string>(), port)) {
-        spdlog::error("cannot listen on port {}", port);
-        return 1;
+    base::LastReason reason;
+    auto settings = settings::readSettings(file, reason);
+    if (!settings) {
+        std::cerr << reason.text << '\n';
+        return exitUsage;
     }
+    std::cout << settings::toJson(*settings) << '\n';
     return 0;
 }
 
+int runDaemon(const std::string& file)
+{
+    base::LastReason reason;
+    auto settings = settings::readSettings(file, reason);
+    if (!settings) {
+        std::cerr << reason.text << '\n';
+        return exitUsage;
+    }
+    spdlog::set_level(levelOf(settings->log.level));
+    return daemon::run(*settings);
+}
+
 }
 
 int main(int argc, char** argv)
@@ -37,9 +49,9 @@
     options::options_description description("papayabendd options");
     auto add = description.add_options();
     add("help", "print this help");
-    add("ip", options::value<std::string>()->default_value("127.0.0.1"), "address to listen on");
-    add("port", options::value<int>()->default_value(8080), "port for callers");
-    add("platform", options::value<std::string>()->default_value("127.0.0.1:8500"), "configuration service");
+    add("settings", options::value<std::string>(), "settings file");
+    add("check-settings", options::value<std::string>(),
+        "check a settings file, print the effective settings and exit");
     try {
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -48,9 +60,14 @@
             std::cout << description;
             return 0;
         }
-        return run(values);
+        if (values.contains("check-settings"))
+            return checkSettings(values["check-settings"].as<std::string>());
+        if (values.contains("settings"))
+            return runDaemon(values["settings"].as<std::string>());
+        std::cerr << "papayabendd: --settings FILE is required\n";
+        return exitUsage;
     } catch (const std::exception& error) {
         std::cerr << "papayabendd: " << error.what() << '\n';
-        return 2;
+        return exitUsage;
     }
 }
--- a/Source/papayabend/transport/HttpEntry.cpp
+++ b/Source/papayabend/transport/HttpEntry.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/transport/HttpEntry.h"
 
 #include <algorithm>
+#include <array>
 #include <future>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -11,8 +12,11 @@
 
     using Json = nlohmann::ordered_json;
 
-    constexpr size_t maxBodyBytes = 64 * 1024;
     constexpr auto jsonType = "application/json";
+    constexpr size_t maxNameBytes = 128;
+    constexpr uint64_t maxHitsAllowed = 1000;
+    // The engine answers at the deadline; a request that is still open later points to a fault of the host.
+    constexpr std::chrono::seconds replyGrace { 5 };
 
     Json toJson(const query::SearchAnswer& answer)
     {
@@ -32,81 +36,131 @@
             { "attempts", answer.attempts } };
     }
 
-    void writeRefusal(const base::Refusal& refusal, httplib::Response& response)
+    std::optional<std::string> textOf(const Json& json, const char* key, size_t maxBytes, base::LastReason& reason)
     {
-        Json body { { "reason", base::toString(refusal.code) }, { "verdict", base::toString(refusal.verdict) },
-            { "detail", refusal.detail } };
-        if (refusal.retryAfter) {
-            auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter);
-            response.set_header("Retry-After", std::to_string(seconds.count()));
-        }
-        response.status = base::httpStatus(refusal.code);
-        response.set_content(body.dump(), jsonType);
+        auto it = json.find(key);
+        if (it == json.end())
+            return base::fail(reason, std::string(key) + ": is required");
+        if (!it->is_string() || it->get_ref<const std::string&>().empty())
+            return base::fail(reason, std::string(key) + ": must be a text that is not empty");
+        if (it->get_ref<const std::string&>().size() > maxBytes)
+            return base::fail(reason, std::string(key) + ": is longer than " + std::to_string(maxBytes) + " bytes");
+        return it->get<std::string>();
     }
 
-    std::optional<query::SearchRequest> parseSearch(const std::string& body, base::LastReason& reason)
+    std::optional<uint64_t> numberOf(const Json& json, const char* key, uint64_t max, base::LastReason& reason)
     {
-        try {
-            auto json = Json::parse(body);
-            query::SearchRequest request;
-            request.account = json.at("account").get<std::string>();
-            request.service = json.at("service").get<std::string>();
-            request.query = json.at("query").get<std::string>();
-            request.maxHits = json.value("maxHits", request.maxHits);
-            request.received = base::BootClock::now();
-            request.deadline = request.received + std::chrono::milliseconds(json.at("deadlineMs").get<uint32_t>());
-            return request;
-        } catch (const Json::exception& error) {
-            return base::fail(reason, error.what());
-        }
+        auto it = json.find(key);
+        if (it == json.end())
+            return base::fail(reason, std::string(key) + ": is required");
+        if (!it->is_number_unsigned() || it->get<uint64_t>() < 1 || it->get<uint64_t>() > max)
+            return base::fail(reason, std::string(key) + ": must be a whole number from 1 to " + std::to_string(max));
+        return it->get<uint64_t>();
     }
 
-    void writeReply(Reply reply, httplib::Response& response)
+    bool hasOnlyKnownKeys(const Json& json, base::LastReason& reason)
     {
-        if (auto* answer = std::get_if<query::SearchAnswer>(&reply))
-            response.set_content(toJson(*answer).dump(), jsonType);
-        else
-            writeRefusal(std::get<base::Refusal>(reply), response);
+        constexpr std::array<std::string_view, 5> known { "account", "service", "query", "deadlineMs", "maxHits" };
+        for (const auto& [key, value] : json.items()) {
+            if (std::ranges::find(known, key) == known.end()) {
+                reason.text = key + ": unknown key";
+                return false;
+            }
+        }
+        return true;
     }
 
 }
 
-struct HttpEntry::Impl {
-    engine::Engine& engine;
-    Shell& shell;
-    httplib::Server server;
-
-    void search(const httplib::Request& httpRequest, httplib::Response& response)
-    {
-        base::LastReason reason;
-        auto request = parseSearch(httpRequest.body, reason);
-        if (!request) {
-            writeRefusal({ base::RefusalCode::BadRequest, base::Verdict::NotRun, reason.text, {} }, response);
-            return;
-        }
-        request->id = engine.nextRequest();
-        auto promise = std::make_shared<std::promise<Reply>>();
-        auto future = promise->get_future();
-        shell.search(std::move(*request), [promise](Reply reply) { promise->set_value(std::move(reply)); });
-        writeReply(future.get(), response);
+std::optional<query::SearchRequest> parseSearch(
+    std::string_view body, base::TimePoint received, const settings::EntrySettings& settings, base::LastReason& reason)
+{
+    Json json;
+    try {
+        json = Json::parse(body);
+    } catch (const Json::exception& error) {
+        return base::fail(reason, error.what());
     }
-};
+    if (!json.is_object())
+        return base::fail(reason, "the body must be a JSON object");
+    auto maxDeadline = static_cast<uint64_t>(settings.maxDeadline.count() / 1000);
+    auto account = textOf(json, "account", maxNameBytes, reason);
+    if (!account)
+        return std::nullopt;
+    auto service = textOf(json, "service", maxNameBytes, reason);
+    if (!service)
+        return std::nullopt;
+    auto query = textOf(json, "query", settings.bodyBytes, reason);
+    if (!query)
+        return std::nullopt;
+    auto deadline = numberOf(json, "deadlineMs", maxDeadline, reason);
+    if (!deadline)
+        return std::nullopt;
+    query::SearchRequest request;
+    auto maxHits = json.contains("maxHits") ? numberOf(json, "maxHits", maxHitsAllowed, reason)
+                                            : std::optional<uint64_t>(request.maxHits);
+    if (!maxHits || !hasOnlyKnownKeys(json, reason))
+        return std::nullopt;
+    request.account = std::move(*account);
+    request.service = std::move(*service);
+    request.query = std::move(*query);
+    request.maxHits = static_cast<uint32_t>(*maxHits);
+    request.received = received;
+    request.deadline = received + std::chrono::milliseconds(*deadline);
+    return request;
+}
 
-HttpEntry::HttpEntry(engine::Engine& engine, Shell& shell)
-    : m_impl(new Impl { engine, shell, {} })
+HttpEntry::HttpEntry(engine::Engine& engine, Shell& shell, Metrics& metrics, const settings::EntrySettings& settings)
+    : m_engine(engine)
+    , m_shell(shell)
+    , m_metrics(metrics)
+    , m_settings(settings)
+    , m_server(settings, [&metrics](base::RefusalCode code) { metrics.refused(code, base::Verdict::NotRun); })
 {
-    auto& server = m_impl->server;
-    server.set_payload_max_length(maxBodyBytes);
-    server.Post("/v1/search",
-        [this](const httplib::Request& request, httplib::Response& response) { m_impl->search(request, response); });
-    server.Get("/healthz",
+    auto& routes = m_server.routes();
+    routes.Post("/v1/search",
+        [this](const httplib::Request& request, httplib::Response& response) { search(request, response); });
+    routes.Get("/healthz",
         [](const httplib::Request&, httplib::Response& response) { response.set_content("ok\n", "text/plain"); });
 }
 
-HttpEntry::~HttpEntry() = default;
-
-bool HttpEntry::serve(const std::string& ip, int port) { return m_impl->server.listen(ip, port); }
-
-void HttpEntry::stop() { m_impl->server.stop(); }
+void HttpEntry::search(const httplib::Request& httpRequest, httplib::Response& response)
+{
+    m_metrics.requestReceived(Metrics::Request::Search);
+    auto refuse = [&](const base::Refusal& refusal) {
+        m_metrics.refused(refusal.code, refusal.verdict);
+        writeRefusal(refusal, response);
+    };
+    base::LastReason reason;
+    auto received = HttpServer::requestReceived();
+    auto request = parseSearch(httpRequest.body, received, m_settings, reason);
+    if (!request) {
+        refuse({ base::RefusalCode::BadRequest, base::Verdict::NotRun, reason.text, {} });
+        return;
+    }
+    if (m_engine.catalog()->version == 0) {
+        refuse({ base::RefusalCode::NotReady, base::Verdict::NotRun, "the host has no catalogue yet",
+            std::chrono::seconds(1) });
+        return;
+    }
+    request->id = m_engine.nextRequest();
+    auto deadline = request->deadline;
+    auto promise = std::make_shared<std::promise<Reply>>();
+    auto future = promise->get_future();
+    m_shell.search(std::move(*request), [promise](Reply reply) { promise->set_value(std::move(reply)); });
+    auto timeLeft = std::max<base::Duration>(deadline - base::BootClock::now(), {}) + replyGrace;
+    if (future.wait_for(timeLeft) != std::future_status::ready) {
+        refuse({ base::RefusalCode::Internal, base::Verdict::MayHaveRun, "the host lost the request", {} });
+        return;
+    }
+    auto reply = future.get();
+    if (auto* refusal = std::get_if<base::Refusal>(&reply)) {
+        refuse(*refusal);
+        return;
+    }
+    const auto& answer = std::get<query::SearchAnswer>(reply);
+    m_metrics.answered(answer, base::BootClock::now() - received);
+    response.set_content(toJson(answer).dump(-1, ' ', false, Json::error_handler_t::replace), jsonType);
+}
 
 }
--- a/Source/papayabend/transport/HttpEntry.h
+++ b/Source/papayabend/transport/HttpEntry.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "papayabend/engine/Engine.h"
+#include "papayabend/settings/Settings.h"
+#include "papayabend/transport/HttpServer.h"
+#include "papayabend/transport/Metrics.h"
 #include "papayabend/transport/Shell.h"
 
-#include <memory>
 #include <string>
 
 namespace papayabend::transport {
@@ -13,18 +15,26 @@
  */
 class HttpEntry {
 public:
-    HttpEntry(engine::Engine&, Shell&);
-    ~HttpEntry();
-    HttpEntry(const HttpEntry&) = delete;
-    HttpEntry& operator=(const HttpEntry&) = delete;
+    HttpEntry(engine::Engine&, Shell&, Metrics&, const settings::EntrySettings&);
 
-    /** Serves until stop(); returns false if the address cannot be bound. */
-    bool serve(const std::string& ip, int port);
-    void stop();
+    /** Serves on \a address until stop(); returns false if it cannot be bound. */
+    bool start(const std::string& address) { return m_server.start(address); }
+    void stopAccepting() { m_server.stopAccepting(); }
+    void stop() { m_server.stop(); }
+    HttpServer& server() { return m_server; }
 
 private:
-    struct Impl;
-    std::unique_ptr<Impl> m_impl;
+    void search(const httplib::Request&, httplib::Response&);
+
+    engine::Engine& m_engine;
+    Shell& m_shell;
+    Metrics& m_metrics;
+    settings::EntrySettings m_settings;
+    HttpServer m_server;
 };
 
+/** Parses the JSON body of a search; \a received is the time from which deadlineMs counts. */
+std::optional<query::SearchRequest> parseSearch(
+    std::string_view body, base::TimePoint received, const settings::EntrySettings&, base::LastReason& reason);
+
 }
--- /dev/null
+++ b/Source/papayabend/transport/HttpOperator.cpp
@@ -0,0 +1,90 @@
+#include "papayabend/transport/HttpOperator.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace papayabend::transport {
+
+namespace {
+
+    using Json = nlohmann::ordered_json;
+
+    constexpr auto jsonType = "application/json";
+
+    std::string dump(const Json& json) { return json.dump(2, ' ', false, Json::error_handler_t::replace) + "\n"; }
+
+    double seconds(base::Duration time) { return std::chrono::duration<double>(time).count(); }
+
+}
+
+HttpOperator::HttpOperator(
+    engine::Engine& engine, Shell& shell, Metrics& metrics, HttpEntry& entry, const settings::Settings& settings)
+    : m_engine(engine)
+    , m_shell(shell)
+    , m_metrics(metrics)
+    , m_entry(entry)
+    , m_settings(settings)
+    , m_started(base::BootClock::now())
+    , m_server(settings.operators, [](base::RefusalCode) {})
+{
+    auto get = [this](const char* path, const char* type, auto text) {
+        m_server.routes().Get(path,
+            [type, text](const httplib::Request&, httplib::Response& response) { response.set_content(text(), type); });
+    };
+    get("/v1/status", jsonType, [this] { return status(); });
+    get("/v1/upstreams", jsonType, [this] { return upstreams(); });
+    get("/metrics", "text/plain; version=0.0.4", [this] { return m_metrics.text(gauges()); });
+    get("/healthz", "text/plain", [] { return std::string("ok\n"); });
+    m_server.routes().Get("/readyz", [this](const httplib::Request&, httplib::Response& response) {
+        auto reason = notServingReason();
+        response.status = reason.empty() ? 200 : 503;
+        response.set_content(reason.empty() ? "ok\n" : reason + "\n", "text/plain");
+    });
+}
+
+std::string HttpOperator::notServingReason() const
+{
+    return m_engine.catalog()->version == 0 ? "no catalogue has been received" : "";
+}
+
+std::string HttpOperator::status() const
+{
+    auto reason = notServingReason();
+    const auto& host = m_settings.host;
+    return dump({ { "host", host.name }, { "failureDomain", host.failureDomain }, { "region", host.region },
+        { "callerAddress", host.callerAddress }, { "peerAddress", host.peerAddress }, { "serving", reason.empty() },
+        { "reason", reason }, { "uptimeSeconds", seconds(base::BootClock::now() - m_started) },
+        { "catalogVersion", m_engine.catalog()->version }, { "openRequests", m_shell.openRequests() },
+        { "waitingRequests", m_entry.server().waitingRequests() },
+        { "callerConnections", m_entry.server().openConnections() } });
+}
+
+std::string HttpOperator::upstreams() const
+{
+    auto catalog = m_engine.catalog();
+    auto connections = m_shell.upstreams().connections();
+    Json list = Json::array();
+    for (const auto& it : catalog->upstreams) {
+        auto own = connections[it.address];
+        list.push_back({ { "name", it.name }, { "address", it.address }, { "failureDomain", it.failureDomain },
+            { "slots", it.slots }, { "connectionLimit", it.connectionLimit }, { "leaving", it.isLeaving },
+            { "connections", own.total }, { "readyConnections", own.ready } });
+    }
+    return dump({ { "catalogVersion", catalog->version }, { "upstreams", std::move(list) } });
+}
+
+Gauges HttpOperator::gauges() const
+{
+    Gauges gauges;
+    gauges.catalogVersion = m_engine.catalog()->version;
+    gauges.isServing = notServingReason().empty();
+    gauges.callerConnections = m_entry.server().openConnections();
+    gauges.waitingRequests = m_entry.server().waitingRequests();
+    for (const auto& [address, own] : m_shell.upstreams().connections()) {
+        gauges.readyUpstreamConnections += own.ready;
+        gauges.upstreamConnections += own.total;
+    }
+    return gauges;
+}
+
+}
--- a/Source/papayabend/transport/UpstreamClient.cpp
+++ b/Source/papayabend/transport/UpstreamClient.cpp
@@ -1,12 +1,9 @@
 #include "papayabend/transport/UpstreamClient.h"
 
-#include "upstream.grpc.pb.h"
+#include "papayabend/transport/UpstreamConnections.h"
 
 #include <algorithm>
-#include <grpcpp/grpcpp.h>
-#include <mutex>
 #include <tbb/concurrent_hash_map.h>
-#include <unordered_map>
 
 namespace papayabend::transport {
 
@@ -33,28 +30,21 @@
         }
     }
 
-    // UNAVAILABLE after the call was handed to gRPC does not tell whether bytes left, so it may have run.
-    AttemptStatus statusOf(const grpc::Status& status)
-    {
-        switch (status.error_code()) {
-        case grpc::StatusCode::DEADLINE_EXCEEDED:
-            return AttemptStatus::TimedOut;
-        case grpc::StatusCode::CANCELLED:
-            return AttemptStatus::Cancelled;
-        case grpc::StatusCode::UNAVAILABLE:
-            return AttemptStatus::ConnectionLost;
-        default:
-            return AttemptStatus::Failed;
-        }
-    }
-
     routing::LoadReport loadOf(const protocol::Load& load)
     {
         return { load.slots_busy(), load.queued(), load.draining(),
             base::Duration(static_cast<int64_t>(load.service_time_us())) };
     }
 
+    enum class Phase { Waiting, Sent, Ended };
+
     struct Call {
+        routing::Attempt attempt;
+        std::atomic<Phase> phase { Phase::Waiting };
+        std::atomic<bool> isCancelled { false };
+        base::TimePoint started {};
+        base::TimePoint waitsUntil {};
+        std::shared_ptr<UpstreamConnection> connection; // Keeps the channel alive while the call runs.
         grpc::ClientContext context;
         AttemptResult result;
         protocol::SearchCall searchCall;
@@ -63,6 +53,27 @@
         protocol::ExecuteReply executeReply;
     };
 
+    // A status that the upstream sent proves that the connection was in order; gRPC states this only in the text.
+    bool isSentByUpstream(const Call& call)
+    {
+        return call.context.debug_error_string().find("Error received from peer") != std::string::npos;
+    }
+
+    // UNAVAILABLE after the call was handed to gRPC does not tell whether bytes left, so it may have run.
+    AttemptStatus statusOf(const Call& call, const grpc::Status& status)
+    {
+        switch (status.error_code()) {
+        case grpc::StatusCode::DEADLINE_EXCEEDED:
+            return AttemptStatus::TimedOut;
+        case grpc::StatusCode::CANCELLED:
+            return call.isCancelled ? AttemptStatus::Cancelled : AttemptStatus::Failed;
+        case grpc::StatusCode::UNAVAILABLE:
+            return isSentByUpstream(call) ? AttemptStatus::Failed : AttemptStatus::ConnectionLost;
+        default:
+            return AttemptStatus::Failed;
+        }
+    }
+
     void takeSearchReply(Call& call)
     {
         const auto& reply = call.searchReply;
@@ -85,68 +96,75 @@
         call.result.body = reply.body();
     }
 
-    std::unique_ptr<protocol::Upstream::Stub> connect(const std::string& address)
+}
+
+struct UpstreamClient::Impl : std::enable_shared_from_this<UpstreamClient::Impl> {
+    Impl(const settings::UpstreamSettings& upstreams, Done handler)
+        : settings(upstreams)
+        , done(std::move(handler))
     {
-        grpc::ChannelArguments arguments;
-        // A transparent retry by the library could run a non-idempotent request twice.
-        arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-        return protocol::Upstream::NewStub(
-            grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
     }
 
-}
-
-struct UpstreamClient::Impl {
-    Done done;
-    std::mutex stubsMutex;
-    std::unordered_map<std::string, std::unique_ptr<protocol::Upstream::Stub>> stubs;
-    tbb::concurrent_hash_map<routing::AttemptId, std::shared_ptr<Call>> calls;
+    void end(Call& call, AttemptStatus status)
+    {
+        calls.erase(call.attempt.id);
+        call.result.status = status;
+        ++runningHandlers;
+        if (!isClosed)
+            done(call.result, base::BootClock::now() - call.started);
+        --runningHandlers;
+    }
 
-    protocol::Upstream::Stub& stub(const std::string& address)
+    /** Ends a call that no byte was sent for; false if it was sent or ended before. */
+    bool endUnsent(Call& call)
     {
-        std::scoped_lock lock(stubsMutex);
-        auto& stub = stubs[address];
-        if (!stub)
-            stub = connect(address);
-        return *stub;
+        auto expected = Phase::Waiting;
+        if (!call.phase.compare_exchange_strong(expected, Phase::Ended))
+            return false;
+        end(call, AttemptStatus::NotSent);
+        return true;
     }
 
-    void finish(const std::shared_ptr<Call>& call, const grpc::Status& status, void (*takeReply)(Call&))
+    void finish(Call& call, const grpc::Status& status, void (*takeReply)(Call&))
     {
-        calls.erase(call->result.attempt);
+        call.result.status = AttemptStatus::Ran;
         if (status.ok())
-            takeReply(*call);
+            takeReply(call);
         else
-            call->result.status = statusOf(status);
-        done(call->result);
+            call.result.status = statusOf(call, status);
+        call.phase = Phase::Ended;
+        end(call, call.result.status);
     }
-};
 
-UpstreamClient::UpstreamClient(Done done)
-    : m_impl(std::make_shared<Impl>())
-{
-    m_impl->done = std::move(done);
-}
+    void start(const std::shared_ptr<Call>& call, std::shared_ptr<UpstreamConnection> connection);
+    void retryWaiting();
 
-UpstreamClient::~UpstreamClient() = default;
+    settings::UpstreamSettings settings;
+    Done done;
+    tbb::concurrent_hash_map<routing::AttemptId, std::shared_ptr<Call>> calls;
+    std::atomic<bool> isClosed { false };
+    std::atomic<size_t> runningHandlers { 0 };
+    std::mutex waitingMutex;
+    std::vector<std::shared_ptr<Call>> waiting;
+    std::unique_ptr<UpstreamConnections> connections;
+};
 
-void UpstreamClient::send(const routing::Attempt& attempt)
+void UpstreamClient::Impl::start(const std::shared_ptr<Call>& call, std::shared_ptr<UpstreamConnection> connection)
 {
-    auto call = std::make_shared<Call>();
-    call->result.attempt = attempt.id;
-    call->result.request = attempt.request;
-    call->result.upstream = attempt.upstream;
-    auto timeLeft = std::max(attempt.deadline - base::BootClock::now(), base::Duration::zero());
+    auto expected = Phase::Waiting;
+    if (!call->phase.compare_exchange_strong(expected, Phase::Sent))
+        return;
+    const auto& attempt = call->attempt;
+    auto timeLeft = attempt.deadline - base::BootClock::now();
     call->context.set_deadline(std::chrono::system_clock::now() + timeLeft);
-    m_impl->calls.insert({ attempt.id, call });
-    auto& stub = m_impl->stub(attempt.address);
-    auto impl = m_impl;
+    call->connection = std::move(connection);
+    auto* stub = call->connection->stub.get();
+    auto impl = shared_from_this();
     if (attempt.isExecution) {
         call->executeCall.set_service(attempt.service);
         call->executeCall.set_body(attempt.body);
-        stub.async()->Execute(&call->context, &call->executeCall, &call->executeReply,
-            [impl, call](const grpc::Status& status) { impl->finish(call, status, takeExecuteReply); });
+        stub->async()->Execute(&call->context, &call->executeCall, &call->executeReply,
+            [impl, call](const grpc::Status& status) { impl->finish(*call, status, takeExecuteReply); });
         return;
     }
     call->searchCall.set_service(attempt.service);
@@ -154,8 +172,80 @@
     call->searchCall.set_snapshot(attempt.snapshot);
     call->searchCall.set_query(attempt.body);
     call->searchCall.set_max_hits(attempt.maxHits);
-    stub.async()->Search(&call->context, &call->searchCall, &call->searchReply,
-        [impl, call](const grpc::Status& status) { impl->finish(call, status, takeSearchReply); });
+    stub->async()->Search(&call->context, &call->searchCall, &call->searchReply,
+        [impl, call](const grpc::Status& status) { impl->finish(*call, status, takeSearchReply); });
+}
+
+void UpstreamClient::Impl::retryWaiting()
+{
+    std::vector<std::shared_ptr<Call>> all;
+    {
+        std::scoped_lock lock(waitingMutex);
+        all.swap(waiting);
+    }
+    auto now = base::BootClock::now();
+    std::vector<std::shared_ptr<Call>> remaining;
+    for (auto& call : all) {
+        auto endpoint = connections->endpoint(call->attempt.address);
+        if (auto connection = endpoint->ready(); connection && now < call->attempt.deadline)
+            start(call, std::move(connection));
+        else if (now >= call->waitsUntil || endpoint->hasFailed())
+            endUnsent(*call);
+        else if (call->phase == Phase::Waiting)
+            remaining.push_back(std::move(call));
+    }
+    std::scoped_lock lock(waitingMutex);
+    waiting.insert(waiting.end(), remaining.begin(), remaining.end());
+}
+
+UpstreamClient::UpstreamClient(const settings::UpstreamSettings& settings, Done done)
+    : m_impl(std::make_shared<Impl>(settings, std::move(done)))
+{
+    m_impl->connections
+        = std::make_unique<UpstreamConnections>(settings, [impl = m_impl.get()] { impl->retryWaiting(); });
+}
+
+UpstreamClient::~UpstreamClient()
+{
+    m_impl->connections.reset();
+    // Calls that still run keep m_impl alive; their handler must not run once its owner is gone.
+    m_impl->isClosed = true;
+    while (m_impl->runningHandlers > 0)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+}
+
+void UpstreamClient::connect(const catalog::Catalog& catalog)
+{
+    std::unordered_set<std::string> addresses;
+    std::ranges::transform(catalog.upstreams, std::inserter(addresses, addresses.end()), &catalog::Upstream::address);
+    m_impl->connections->keepOnly(addresses);
+}
+
+void UpstreamClient::send(const routing::Attempt& attempt)
+{
+    auto call = std::make_shared<Call>();
+    call->attempt = attempt;
+    call->started = base::BootClock::now();
+    call->result.attempt = attempt.id;
+    call->result.request = attempt.request;
+    call->result.upstream = attempt.upstream;
+    m_impl->calls.insert({ attempt.id, call });
+    if (attempt.deadline <= call->started) {
+        m_impl->endUnsent(*call);
+        return;
+    }
+    auto endpoint = m_impl->connections->endpoint(attempt.address);
+    if (auto connection = endpoint->ready()) {
+        m_impl->start(call, std::move(connection));
+        return;
+    }
+    if (endpoint->hasFailed()) {
+        m_impl->endUnsent(*call);
+        return;
+    }
+    call->waitsUntil = std::min(attempt.deadline, call->started + m_impl->settings.connectTimeout);
+    std::scoped_lock lock(m_impl->waitingMutex);
+    m_impl->waiting.push_back(std::move(call));
 }
 
 void UpstreamClient::cancel(routing::AttemptId id)
@@ -165,7 +255,22 @@
         return;
     auto call = accessor->second;
     accessor.release();
+    if (m_impl->endUnsent(*call))
+        return;
+    call->isCancelled = true;
     call->context.TryCancel();
 }
 
+std::unordered_map<std::string, UpstreamClient::Connections> UpstreamClient::connections() const
+{
+    std::unordered_map<std::string, Connections> all;
+    auto endpoints = m_impl->connections->endpoints();
+    for (const auto& [address, endpoint] : *endpoints) {
+        auto isReady = [](const auto& it) { return it->channel->GetState(false) == GRPC_CHANNEL_READY; };
+        all[address] = { static_cast<size_t>(std::ranges::count_if(endpoint->connections, isReady)),
+            endpoint->connections.size() };
+    }
+    return all;
+}
+
 }
--- a/Source/papayabend/transport/UpstreamClient.h
+++ b/Source/papayabend/transport/UpstreamClient.h
@@ -1,28 +1,51 @@
 #pragma once
 
+#include "papayabend/catalog/Catalog.h"
 #include "papayabend/routing/Attempt.h"
+#include "papayabend/settings/Settings.h"
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <unordered_map>
 
 namespace papayabend::transport {
 
 /** \class UpstreamClient
- * \brief Calls upstreams over gRPC. Safe for use by several threads.
+ * \brief Calls upstreams over gRPC on connections that are opened ahead. Safe for use by several threads.
  */
 class UpstreamClient {
 public:
-    using Done = std::function<void(const routing::AttemptResult&)>;
-
-    /** \a done is called once for each attempt, on a thread of the library. */
-    explicit UpstreamClient(Done done);
+    /** Called once for each attempt, on a thread of the client or of gRPC, with the duration of the call. */
+    using Done = std::function<void(const routing::AttemptResult&, base::Duration elapsed)>;
+
+    /** \struct Connections
+     * \brief Connections to one upstream.
+     */
+    struct Connections {
+        size_t ready { 0 };
+        size_t total { 0 };
+    };
+
+    UpstreamClient(const settings::UpstreamSettings&, Done done);
     ~UpstreamClient();
     UpstreamClient(const UpstreamClient&) = delete;
     UpstreamClient& operator=(const UpstreamClient&) = delete;
 
+    /** Opens connections to every upstream of the catalogue and drops those to others once their calls ended. */
+    void connect(const catalog::Catalog&);
+
+    /**
+     * Hands the attempt to a connection that is open. While none is, the attempt waits for one at most for the
+     * connect timeout and then ends as NotSent.
+     */
     void send(const routing::Attempt&);
+    /** Ends the attempt as Cancelled, or as NotSent if it still waits for a connection. */
     void cancel(routing::AttemptId);
 
+    /** Returns the connections by upstream address. */
+    std::unordered_map<std::string, Connections> connections() const;
+
 private:
     struct Impl;
     std::shared_ptr<Impl> m_impl;
--- /dev/null
+++ b/Tests/transport/HttpFramingTest.cpp
@@ -0,0 +1,40 @@
+#include "papayabend/transport/HttpFraming.h"
+
+#include <CppUTest/TestHarness.h>
+#include <string>
+
+using namespace papayabend;
+using State = transport::HttpFrame::State;
+
+TEST_GROUP(HttpFraming) {
+    static transport::HttpFrame frame(std::string_view text) { return transport::frameOf(text, 200, 20);
+}
+static void checkState(State expected, std::string_view text) { CHECK(expected == frame(text).state); }
+}
+;
+
+// Guards against a request being handed on in part, whatever the sizes of the pieces in which it arrives.
+TEST(HttpFraming, RequestIsCompleteOnlyWithItsLastByte)
+{
+    std::string text = "POST /v1/search HTTP/1.1\r\nCONTENT-length: 4\r\n\r\nbody";
+    for (size_t n = 0; n < text.size(); ++n)
+        checkState(State::Incomplete, std::string_view(text).substr(0, n));
+    LONGS_EQUAL(text.size(), frame(text + "GET /next").length);
+}
+
+// Guards against one request being read as two, which would give a caller another caller's answer.
+TEST(HttpFraming, ContradictoryLengthsAreRefused)
+{
+    checkState(State::Malformed, "POST / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\n");
+    checkState(State::Malformed, "POST / HTTP/1.1\r\nContent-Length: 4, 4\r\n\r\n");
+    checkState(State::Malformed, "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n");
+    checkState(State::LengthRequired, "POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n");
+}
+
+// Guards against memory that grows with what a client announces or sends without end.
+TEST(HttpFraming, SizesAreBounded)
+{
+    checkState(State::HeaderTooLarge, std::string(200, 'a'));
+    checkState(State::BodyTooLarge, "POST / HTTP/1.1\r\nContent-Length: 21\r\n\r\n");
+    checkState(State::Malformed, "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n");
+}
