standin: Run all upstreams of a deployment in one process with settable faults

The stand-in had one shape of upstream with a thread for each waiting call. The configuration service counts its calls and can be limited, down or stale; the host list lags. Executions are counted by body, so that a double run shows.

The upstream client tells a lost connection from an error of the upstream by the state of the channel, because gRPC gives both the same status and text.

--- a/Source/papayabend/transport/UpstreamClient.cpp
+++ b/Source/papayabend/transport/UpstreamClient.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+    // gRPC ends a call as UNAVAILABLE both when the connection ended and when the upstream sent this status. They are
+    // told apart by the state of the channel, whose change is reported up to a few milliseconds after the call.
+    constexpr std::chrono::milliseconds lossReportTime { 50 };
+
     using routing::AttemptResult;
     using routing::AttemptStatus;
 
@@ -45,6 +49,7 @@
         base::TimePoint started {};
         base::TimePoint waitsUntil {};
         std::shared_ptr<UpstreamConnection> connection; // Keeps the channel alive while the call runs.
+        uint32_t lossesBefore { 0 };
         grpc::ClientContext context;
         AttemptResult result;
         protocol::SearchCall searchCall;
@@ -53,13 +58,6 @@
         protocol::ExecuteReply executeReply;
     };
 
-    // A status that the upstream sent proves that the connection was in order; gRPC states this only in the text.
-    bool isSentByUpstream(const Call& call)
-    {
-        return call.context.debug_error_string().find("Error received from peer") != std::string::npos;
-    }
-
-    // UNAVAILABLE after the call was handed to gRPC does not tell whether bytes left, so it may have run.
     AttemptStatus statusOf(const Call& call, const grpc::Status& status)
     {
         switch (status.error_code()) {
@@ -67,8 +65,6 @@
             return AttemptStatus::TimedOut;
         case grpc::StatusCode::CANCELLED:
             return call.isCancelled ? AttemptStatus::Cancelled : AttemptStatus::Failed;
-        case grpc::StatusCode::UNAVAILABLE:
-            return isSentByUpstream(call) ? AttemptStatus::Failed : AttemptStatus::ConnectionLost;
         default:
             return AttemptStatus::Failed;
         }
@@ -125,19 +121,28 @@
         return true;
     }
 
-    void finish(Call& call, const grpc::Status& status, void (*takeReply)(Call&))
+    void finish(const std::shared_ptr<Call>& call, const grpc::Status& status, void (*takeReply)(Call&))
     {
-        call.result.status = AttemptStatus::Ran;
-        if (status.ok())
-            takeReply(call);
-        else
-            call.result.status = statusOf(call, status);
-        call.phase = Phase::Ended;
-        end(call, call.result.status);
+        call->phase = Phase::Ended;
+        if (status.ok()) {
+            takeReply(*call);
+            end(*call, call->result.status);
+        } else if (status.error_code() != grpc::StatusCode::UNAVAILABLE) {
+            end(*call, statusOf(*call, status));
+        } else if (hasLostConnection(*call)) {
+            end(*call, AttemptStatus::ConnectionLost);
+        } else {
+            call->waitsUntil = base::BootClock::now() + lossReportTime;
+            std::scoped_lock lock(waitingMutex);
+            unavailable.push_back(call);
+        }
     }
 
+    static bool hasLostConnection(const Call& call) { return call.connection->losses != call.lossesBefore; }
+
     void start(const std::shared_ptr<Call>& call, std::shared_ptr<UpstreamConnection> connection);
     void retryWaiting();
+    void endUnavailable();
 
     settings::UpstreamSettings settings;
     Done done;
@@ -145,7 +150,8 @@
     std::atomic<bool> isClosed { false };
     std::atomic<size_t> runningHandlers { 0 };
     std::mutex waitingMutex;
-    std::vector<std::shared_ptr<Call>> waiting;
+    std::vector<std::shared_ptr<Call>> waiting; // For a connection.
+    std::vector<std::shared_ptr<Call>> unavailable; // Ended; the cause is not known yet.
     std::unique_ptr<UpstreamConnections> connections;
 };
 
@@ -158,13 +164,14 @@
     auto timeLeft = attempt.deadline - base::BootClock::now();
     call->context.set_deadline(std::chrono::system_clock::now() + timeLeft);
     call->connection = std::move(connection);
+    call->lossesBefore = call->connection->losses;
     auto* stub = call->connection->stub.get();
     auto impl = shared_from_this();
     if (attempt.isExecution) {
         call->executeCall.set_service(attempt.service);
         call->executeCall.set_body(attempt.body);
         stub->async()->Execute(&call->context, &call->executeCall, &call->executeReply,
-            [impl, call](const grpc::Status& status) { impl->finish(*call, status, takeExecuteReply); });
+            [impl, call](const grpc::Status& status) { impl->finish(call, status, takeExecuteReply); });
         return;
     }
     call->searchCall.set_service(attempt.service);
@@ -173,7 +180,7 @@
     call->searchCall.set_query(attempt.body);
     call->searchCall.set_max_hits(attempt.maxHits);
     stub->async()->Search(&call->context, &call->searchCall, &call->searchReply,
-        [impl, call](const grpc::Status& status) { impl->finish(*call, status, takeSearchReply); });
+        [impl, call](const grpc::Status& status) { impl->finish(call, status, takeSearchReply); });
 }
 
 void UpstreamClient::Impl::retryWaiting()
@@ -198,11 +205,32 @@
     waiting.insert(waiting.end(), remaining.begin(), remaining.end());
 }
 
+void UpstreamClient::Impl::endUnavailable()
+{
+    std::vector<std::shared_ptr<Call>> all;
+    {
+        std::scoped_lock lock(waitingMutex);
+        all.swap(unavailable);
+    }
+    auto now = base::BootClock::now();
+    std::erase_if(all, [&](const std::shared_ptr<Call>& call) {
+        auto isLost = hasLostConnection(*call);
+        if (!isLost && now < call->waitsUntil)
+            return false;
+        end(*call, isLost ? AttemptStatus::ConnectionLost : AttemptStatus::Failed);
+        return true;
+    });
+    std::scoped_lock lock(waitingMutex);
+    unavailable.insert(unavailable.end(), all.begin(), all.end());
+}
+
 UpstreamClient::UpstreamClient(const settings::UpstreamSettings& settings, Done done)
     : m_impl(std::make_shared<Impl>(settings, std::move(done)))
 {
-    m_impl->connections
-        = std::make_unique<UpstreamConnections>(settings, [impl = m_impl.get()] { impl->retryWaiting(); });
+    m_impl->connections = std::make_unique<UpstreamConnections>(settings, [impl = m_impl.get()] {
+        impl->retryWaiting();
+        impl->endUnavailable();
+    });
 }
 
 UpstreamClient::~UpstreamClient()
--- a/Source/papayabend/transport/UpstreamConnections.cpp
+++ b/Source/papayabend/transport/UpstreamConnections.cpp
@@ -32,6 +32,7 @@
 
     struct Watch {
         std::shared_ptr<UpstreamConnection> connection;
+        grpc_connectivity_state state { GRPC_CHANNEL_IDLE };
     };
 
 }
@@ -126,7 +127,7 @@
     // Asking for the state with true starts a connection when the channel is idle.
     auto state = connection->channel->GetState(true);
     connection->channel->NotifyOnStateChange(
-        state, std::chrono::system_clock::now() + watchTime, &m_queue, new Watch { connection });
+        state, std::chrono::system_clock::now() + watchTime, &m_queue, new Watch { connection, state });
 }
 
 void UpstreamConnections::run()
@@ -139,6 +140,8 @@
             return;
         if (status == grpc::CompletionQueue::GOT_EVENT) {
             std::unique_ptr<Watch> event(static_cast<Watch*>(tag));
+            if (ok && event->state == GRPC_CHANNEL_READY)
+                ++event->connection->losses;
             watch(event->connection);
         }
         m_changed();
--- a/Source/papayabend/transport/UpstreamConnections.h
+++ b/Source/papayabend/transport/UpstreamConnections.h
@@ -24,6 +24,7 @@
     std::shared_ptr<grpc::Channel> channel;
     std::unique_ptr<protocol::Upstream::Stub> stub;
     std::atomic<bool> isDropped { false };
+    std::atomic<uint32_t> losses { 0 }; /**< How often the TCP connection ended. */
 };
 
 /** \struct UpstreamEndpoint
--- a/Source/standin/Main.cpp
+++ b/Source/standin/Main.cpp
@@ -1,54 +1,67 @@
 #include "standin/ConfigService.h"
+#include "standin/ControlInterface.h"
+#include "standin/StandinSettings.h"
 #include "standin/UpstreamServer.h"
 
 #include <boost/program_options.hpp>
-#include <deque>
+#include <csignal>
 #include <exception>
 #include <filesystem>
 #include <fstream>
+#include <httplib.h>
 #include <iostream>
-#include <nlohmann/json.hpp>
+#include <pthread.h>
+#include <thread>
 
 namespace {
 
 namespace options = boost::program_options;
-using nlohmann::json;
+using namespace papayabend;
 
-// Writes a catalogue in the shape of fitting-desk: every shard on two upstreams of two slots.
-json makeCatalog(const std::string& ip, int firstPort, int shards)
+constexpr int exitUsage = 2;
+
+// Replaces the file in one step, so that a reader never sees a part of it.
+void writeFile(const std::string& path, const std::string& text)
 {
-    json catalog { { "version", 1 }, { "upstreams", json::array() }, { "services", json::array() } };
-    json shardMap = json::array();
-    for (int n = 0; n < shards; ++n) {
-        json replicas = json::array();
-        for (int replica = 0; replica < 2; ++replica) {
-            auto name = "u" + std::to_string(n) + (replica ? "b" : "a");
-            catalog["upstreams"].push_back(
-                { { "name", name }, { "address", ip + ":" + std::to_string(firstPort + 2 * n + replica) },
-                    { "failureDomain", replica ? "seeb" : "ruwi" }, { "slots", 2 }, { "connectionLimit", 25 },
-                    { "connectTimeUs", 6000 } });
-            replicas.push_back(name);
-        }
-        shardMap.push_back({ { "name", "s" + std::to_string(n) }, { "units", 1000 }, { "replicas", replicas } });
-    }
-    catalog["services"].push_back(
-        { { "name", "fitting-desk" }, { "snapshots", json::array({ { { "id", 1 }, { "shards", shardMap } } }) } });
-    return catalog;
+    std::ofstream(path + ".new") << text;
+    std::filesystem::rename(path + ".new", path);
 }
 
-int run(const options::variables_map& values)
+int run(const standin::StandinSettings& settings)
 {
-    auto ip = values["ip"].as<std::string>();
-    auto firstPort = values["first-port"].as<int>();
-    auto shards = values["shards"].as<int>();
-    std::deque<papayabend::standin::UpstreamServer> upstreams;
-    for (int n = 0; n < 2 * shards; ++n)
-        upstreams.emplace_back(papayabend::standin::UpstreamSettings {
-            .address = ip + ":" + std::to_string(firstPort + n), .snapshots = { 1 } });
-    auto folder = values["folder"].as<std::string>();
-    std::filesystem::create_directories(folder);
-    std::ofstream(folder + "/catalog") << makeCatalog(ip, firstPort, shards).dump();
-    return papayabend::standin::serveConfig(ip, values["config-port"].as<int>(), folder) ? 0 : 1;
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::filesystem::create_directories(settings.folder);
+    standin::UpstreamServer upstreams(settings);
+    auto publish = [&] { writeFile(settings.folder + "/catalog", standin::catalogOf(upstreams.deployment())); };
+    publish();
+    standin::ConfigService config(settings.folder, settings.platform);
+    httplib::Server server;
+    server.new_task_queue = [&] { return new httplib::ThreadPool(settings.platformThreads); };
+    config.addRoutes(server);
+    standin::addControlRoutes(server, upstreams, config, publish);
+    auto port = static_cast<int>(settings.platformPort);
+    if (port == 0)
+        port = server.bind_to_any_port(settings.ip.c_str());
+    else if (!server.bind_to_port(settings.ip.c_str(), port))
+        port = -1;
+    if (port < 0) {
+        std::cerr << "papayabend-standin: cannot listen on the platform port\n";
+        return 1;
+    }
+    std::thread listener([&] { server.listen_after_bind(); });
+    // Scripts read this line to learn the port that the system chose.
+    std::cout << R"({"platform":")" << settings.ip << ':' << port << R"(","upstreams":)"
+              << upstreams.deployment().upstreams.size() << "}" << std::endl; // NOLINT(performance-avoid-endl)
+    int signal = 0;
+    sigwait(&signals, &signal);
+    config.stop();
+    server.stop();
+    listener.join();
+    return 0;
 }
 
 }
@@ -58,11 +71,7 @@
     options::options_description description("papayabend-standin options");
     auto add = description.add_options();
     add("help", "print this help");
-    add("ip", options::value<std::string>()->default_value("127.0.0.1"), "address to listen on");
-    add("config-port", options::value<int>()->default_value(8500), "port of the configuration service");
-    add("first-port", options::value<int>()->default_value(9000), "port of the first upstream");
-    add("shards", options::value<int>()->default_value(20), "shards of the service");
-    add("folder", options::value<std::string>()->required(), "folder with one file for each published value");
+    add("settings", options::value<std::string>()->required(), "settings file, JSON with comments");
     try {
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -71,9 +80,13 @@
             return 0;
         }
         options::notify(values);
-        return run(values);
+        base::LastReason reason;
+        auto settings = standin::readSettings(values["settings"].as<std::string>(), reason);
+        if (settings)
+            return run(*settings);
+        std::cerr << reason.text << '\n';
     } catch (const std::exception& error) {
         std::cerr << "papayabend-standin: " << error.what() << '\n';
-        return 2;
     }
+    return exitUsage;
 }
