--- a/Source/papayabend/daemon/Daemon.cpp
+++ b/Source/papayabend/daemon/Daemon.cpp
@@ -4,7 +4,6 @@
 #include "papayabend/transport/HttpEntry.h"
 #include "papayabend/transport/HttpOperator.h"
 #include "papayabend/transport/Metrics.h"
-#include "papayabend/transport/PlatformClient.h"
 #include "papayabend/transport/Shell.h"
 
 #include <csignal>
@@ -19,6 +18,17 @@
     constexpr int exitCannotListen = 1;
     constexpr long pollNanoseconds = 100'000'000;
 
+    membership::HostIdentity identityOf(const settings::Settings& settings)
+    {
+        const auto& host = settings.host;
+        // The time of day, because an incarnation must be higher than that of the previous process, which left no
+        // state behind.
+        auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        auto incarnation = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+        return { host.name, host.callerAddress, host.peerAddress, host.failureDomain, host.region,
+            static_cast<uint64_t>(incarnation), settings.platform.seedPeers };
+    }
+
     /** Blocks the signals of a planned stop in this thread and in all threads started later. */
     sigset_t blockStopSignals()
     {
@@ -63,25 +73,25 @@
 int run(const settings::Settings& settings)
 {
     auto signals = blockStopSignals();
-    engine::Engine engine(std::random_device {}());
+    engine::Engine engine(std::random_device {}(), identityOf(settings));
+    engine.configureRouting(settings.routing);
     transport::Metrics metrics;
     transport::Shell shell(engine, settings, metrics);
     transport::HttpEntry entry(engine, shell, metrics, settings.entry);
     transport::HttpOperator operators(engine, shell, metrics, entry, settings);
-    if (!operators.start()) {
-        spdlog::error("cannot listen on operator address {}", settings.host.operatorAddress);
+    auto cannotListen = [](const char* kind, const std::string& address) {
+        spdlog::error("host: cannot listen on the {} address {}", kind, address);
         return exitCannotListen;
-    }
-    if (!entry.start(settings.host.callerAddress)) {
-        spdlog::error("cannot listen on caller address {}", settings.host.callerAddress);
-        return exitCannotListen;
-    }
-    spdlog::info("host: {} started, callers {}, operators {}", settings.host.name, settings.host.callerAddress,
+    };
+    if (!operators.start())
+        return cannotListen("operator", settings.host.operatorAddress);
+    if (!shell.start(settings.host.peerAddress))
+        return cannotListen("peer", settings.host.peerAddress);
+    if (!entry.start(settings.host.callerAddress))
+        return cannotListen("caller", settings.host.callerAddress);
+    spdlog::info("host: {} started, incarnation {}, callers {}, peers {}, operators {}", settings.host.name,
+        engine.identity().incarnation, settings.host.callerAddress, settings.host.peerAddress,
         settings.host.operatorAddress);
-    transport::PlatformClient platform(settings.platform.address, "catalog", [&](const std::string& text) {
-        shell.perform(engine.valuePublished("catalog", text, base::BootClock::now()));
-        return engine.catalog()->version;
-    });
     std::string reason;
     while (!stopRequested(signals))
         logServing(operators, reason);
--- a/Source/papayabend/settings/Settings.cpp
+++ b/Source/papayabend/settings/Settings.cpp
@@ -12,6 +12,8 @@
 
     constexpr int64_t minute = 60'000;
     constexpr std::array<std::string_view, 4> policies { "random", "leastInFlight", "twoChoices", "affinity" };
+    // In the order of routing::CanaryMode.
+    constexpr std::array<std::string_view, 3> canaryModes { "off", "afterCrash", "always" };
     constexpr std::array<std::string_view, 4> logLevels { "debug", "info", "warning", "error" };
 
 }
@@ -56,28 +58,66 @@
     keys.milliseconds("maxReconnectDelayMs", upstreams.maxReconnectDelay, 10, 10 * minute);
 }
 
-static void visit(auto& keys, RoutingSettings& routing)
+static void visit(auto& keys, routing::HedgingSettings& hedging)
 {
-    keys.choice("policy", routing.policy, policies);
-    keys.number("connectionSharePercent", routing.connectionSharePercent, 1, 100);
+    keys.flag("enabled", hedging.enabled);
+    keys.fraction("quantile", hedging.quantile, 0.5, 0.9999);
+    keys.fraction("budget", hedging.budget, 0, 1);
+    keys.milliseconds("windowMs", hedging.window, 100, 10 * minute);
+    keys.milliseconds("minDelayMs", hedging.minDelay, 0, minute);
+    keys.milliseconds("initialDelayMs", hedging.initialDelay, 0, minute);
+    keys.fraction("overloadShare", hedging.overloadShare, 0, 1);
 }
 
-static void visit(auto& keys, HedgingSettings& hedging)
+static void visit(auto& keys, routing::RetrySettings& retries)
 {
-    keys.flag("enabled", hedging.enabled);
-    keys.fraction("budget", hedging.budget, 0, 1);
+    keys.fraction("budget", retries.budget, 0, 10);
+    keys.number("burst", retries.burst, 0, 1'000'000);
+    keys.number("perShard", retries.perShard, 0, 100);
 }
 
-static void visit(auto& keys, AdmissionSettings& admission)
+static void visit(auto& keys, routing::CrashSettings& crashes)
 {
-    keys.flag("enabled", admission.enabled);
-    keys.number("queueLength", admission.queueLength, 1, 100'000);
+    auto canary = static_cast<size_t>(crashes.canary);
+    std::string text(canaryModes[canary]);
+    keys.choice("canary", text, canaryModes);
+    base::LastReason ignored;
+    crashes.canary = routing::parseCanaryMode(text, ignored).value_or(crashes.canary);
+    keys.number("crashes", crashes.crashes, 1, 3);
+    keys.milliseconds("validityMs", crashes.validity, 1000, 24 * 60 * minute);
+    keys.milliseconds("recentMs", crashes.recent, 0, 60 * minute);
+    keys.milliseconds("settleMs", crashes.settle, 0, minute);
+    keys.milliseconds("turnMs", crashes.turn, 1, minute);
+    keys.number("rememberedRequests", crashes.rememberedRequests, 1, 100'000'000);
+}
+
+static void visit(auto& keys, routing::RecoverySettings& recovery)
+{
+    keys.milliseconds("minBackoffMs", recovery.minBackoff, 1, minute);
+    keys.milliseconds("maxBackoffMs", recovery.maxBackoff, 1, 10 * minute);
+    keys.milliseconds("drainHoldMs", recovery.drainHold, 0, 60 * minute);
+    keys.milliseconds("overloadHoldMs", recovery.overloadHold, 0, minute);
+    keys.milliseconds("rampMs", recovery.ramp, 0, 10 * minute);
+    keys.milliseconds("probeTimeoutMs", recovery.probeTimeout, 1, minute);
+    keys.milliseconds("snapshotHoldMs", recovery.snapshotHold, 0, minute);
+}
+
+static void visit(auto& keys, routing::RoutingSettings& routing)
+{
+    std::string policy(routing::toString(routing.policy));
+    keys.choice("policy", policy, policies);
+    base::LastReason ignored;
+    routing.policy = routing::parsePolicy(policy, ignored).value_or(routing.policy);
+    keys.fraction("remoteDomainWeight", routing.remoteDomainWeight, 1, 100);
+    keys.flag("limitInFlight", routing.limitInFlight);
+    keys.fraction("connectionShare", routing.connectionShare, 0.01, 1);
+    keys.number("servingHosts", routing.servingHosts, 1, 100'000);
 }
 
-static void visit(auto& keys, QuarantineSettings& quarantine)
+static void visit(auto& keys, AdmissionSettings& admission)
 {
-    keys.number("crashes", quarantine.crashes, 1, 3);
-    keys.milliseconds("validityMs", quarantine.validity, 1000, 24 * 60 * minute);
+    keys.flag("enabled", admission.enabled);
+    keys.number("queueLength", admission.queueLength, 1, 100'000);
 }
 
 static void visit(auto& keys, StopSettings& stop)
@@ -97,9 +137,11 @@
     keys.section("operators", settings.operators);
     keys.section("upstreams", settings.upstreams);
     keys.section("routing", settings.routing);
-    keys.section("hedging", settings.hedging);
+    keys.section("hedging", settings.routing.hedging);
+    keys.section("retries", settings.routing.retries);
+    keys.section("quarantine", settings.routing.crashes);
+    keys.section("recovery", settings.routing.recovery);
     keys.section("admission", settings.admission);
-    keys.section("quarantine", settings.quarantine);
     keys.section("stop", settings.stop);
     keys.section("log", settings.log);
 }
@@ -126,6 +168,7 @@
     if (settings.upstreams.maxReconnectDelay < settings.upstreams.minReconnectDelay)
         return base::fail(reason,
             std::string(file) + ": upstreams.maxReconnectDelayMs: must be at least upstreams.minReconnectDelayMs");
+    settings.routing.ownFailureDomain = settings.host.failureDomain;
     return settings;
 }
 
--- a/Source/papayabend/settings/Settings.h
+++ b/Source/papayabend/settings/Settings.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/LastReason.h"
 #include "papayabend/base/Time.h"
+#include "papayabend/routing/RoutingSettings.h"
 
 #include <cstdint>
 #include <optional>
@@ -56,26 +57,11 @@
     base::Duration maxReconnectDelay { std::chrono::seconds(5) };
 };
 
-struct RoutingSettings {
-    std::string policy { "twoChoices" }; /**< "random", "leastInFlight", "twoChoices" or "affinity". */
-    uint32_t connectionSharePercent { 90 }; /**< Part of an upstream's connection limit that all hosts use together. */
-};
-
-struct HedgingSettings {
-    bool enabled { true };
-    double budget { 0.05 }; /**< Extra over needed attempts. */
-};
-
 struct AdmissionSettings {
     bool enabled { true };
     uint32_t queueLength { 256 }; /**< Waiting requests for each client account and service. */
 };
 
-struct QuarantineSettings {
-    uint32_t crashes { 2 }; /**< Upstreams lost before a request is refused. */
-    base::Duration validity { std::chrono::minutes(10) };
-};
-
 /** \struct StopSettings
  * \brief Phases of a planned stop.
  */
@@ -98,10 +84,8 @@
     EntrySettings entry;
     EntrySettings operators { .threads = 2, .queuedRequests = 64, .connections = 64, .bodyBytes = 1024 };
     UpstreamSettings upstreams;
-    RoutingSettings routing;
-    HedgingSettings hedging;
+    routing::RoutingSettings routing; /**< Sections routing, hedging, retries, quarantine and recovery. */
     AdmissionSettings admission;
-    QuarantineSettings quarantine;
     StopSettings stop;
     LogSettings log;
 };
--- a/Source/papayabend/transport/HttpEntry.cpp
+++ b/Source/papayabend/transport/HttpEntry.cpp
@@ -138,9 +138,8 @@
         refuse({ base::RefusalCode::BadRequest, base::Verdict::NotRun, reason.text, {} });
         return;
     }
-    if (m_engine.catalog()->version == 0) {
-        refuse({ base::RefusalCode::NotReady, base::Verdict::NotRun, "the host has no catalogue yet",
-            std::chrono::seconds(1) });
+    if (auto readiness = m_engine.readiness(received); !readiness.canServe) {
+        refuse({ readiness.code, base::Verdict::NotRun, readiness.reason, std::chrono::seconds(1) });
         return;
     }
     request->id = m_engine.nextRequest();
--- a/Source/papayabend/transport/HttpOperator.cpp
+++ b/Source/papayabend/transport/HttpOperator.cpp
@@ -44,7 +44,8 @@
 
 std::string HttpOperator::notServingReason() const
 {
-    return m_engine.catalog()->version == 0 ? "no catalogue has been received" : "";
+    auto readiness = m_engine.readiness(base::BootClock::now());
+    return readiness.canServe ? "" : readiness.reason;
 }
 
 std::string HttpOperator::status() const
@@ -54,6 +55,7 @@
     return dump({ { "host", host.name }, { "failureDomain", host.failureDomain }, { "region", host.region },
         { "callerAddress", host.callerAddress }, { "peerAddress", host.peerAddress }, { "serving", reason.empty() },
         { "reason", reason }, { "uptimeSeconds", seconds(base::BootClock::now() - m_started) },
+        { "incarnation", m_engine.identity().incarnation }, { "tableVersion", m_engine.table()->version },
         { "catalogVersion", m_engine.catalog()->version }, { "openRequests", m_shell.openRequests() },
         { "waitingRequests", m_entry.server().waitingRequests() },
         { "callerConnections", m_entry.server().openConnections() } });
@@ -76,6 +78,7 @@
 Gauges HttpOperator::gauges() const
 {
     Gauges gauges;
+    gauges.tableVersion = m_engine.table()->version;
     gauges.catalogVersion = m_engine.catalog()->version;
     gauges.isServing = notServingReason().empty();
     gauges.callerConnections = m_entry.server().openConnections();
--- a/Source/papayabend/transport/Shell.cpp
+++ b/Source/papayabend/transport/Shell.cpp
@@ -15,12 +15,44 @@
 Shell::Shell(engine::Engine& engine, const settings::Settings& settings, Metrics& metrics)
     : m_engine(engine)
     , m_metrics(metrics)
-    , m_upstreams(settings.upstreams, [this](const routing::AttemptResult& result, base::Duration elapsed) {
-        m_metrics.attemptFinished(result.status, elapsed);
-        perform(m_engine.attemptFinished(result, base::BootClock::now()));
-    })
+    , m_upstreams(settings.upstreams,
+          [this](const routing::AttemptResult& result, base::Duration elapsed) {
+              m_metrics.attemptFinished(result.status, elapsed);
+              perform(m_engine.attemptFinished(result, base::BootClock::now()));
+          })
+    , m_platform(settings.platform.address,
+          [this](const std::string& key, engine::ReadStatus status, const std::string& text) {
+              readEnded(key, status, text);
+          })
+    , m_peerServer({ .exchange = [this](const engine::PeerMessage& message) {
+        perform(m_engine.peerMessage(message, base::BootClock::now()));
+    } })
 {
+}
+
+bool Shell::start(const std::string& peerAddress)
+{
+    if (!m_peerServer.start(peerAddress))
+        return false;
     tick();
+    return true;
+}
+
+void Shell::tick()
+{
+    perform(m_engine.tick(base::BootClock::now()));
+    connectUpstreams();
+    m_timers.at(base::BootClock::now() + tickInterval, [this] { tick(); });
+}
+
+void Shell::readEnded(const std::string& key, engine::ReadStatus status, const std::string& text)
+{
+    auto now = base::BootClock::now();
+    if (status == engine::ReadStatus::Value && key == "hosts")
+        perform(m_engine.hostListPublished(text, now));
+    else if (status == engine::ReadStatus::Value)
+        perform(m_engine.valuePublished(key, text, now));
+    perform(m_engine.platformReadEnded(key, status, now));
 }
 
 void Shell::search(query::SearchRequest request, ReplyHandler handler)
@@ -53,6 +85,17 @@
 
 void Shell::perform(engine::ReplySearch& action) { reply(action.request, std::move(action.answer)); }
 
+void Shell::perform(engine::ReplyExecution& action) { reply(action.request, std::move(action.answer)); }
+
+void Shell::perform(engine::ReplyOutcome& action) { reply(action.request, std::move(action.answer)); }
+
+void Shell::perform(engine::ForwardExecution& action)
+{
+    reply(action.request.id,
+        base::Refusal {
+            base::RefusalCode::OutcomeUnknown, base::Verdict::MayHaveRun, "no connection between hosts", {} });
+}
+
 void Shell::perform(engine::ReplyRefusal& action) { reply(action.request, std::move(action.refusal)); }
 
 void Shell::perform(engine::SetTimer& action)
@@ -60,6 +103,10 @@
     m_timers.at(action.at, [this, id = action.request] { perform(m_engine.timerExpired(id, base::BootClock::now())); });
 }
 
+void Shell::perform(engine::SendPeerMessage& action) { m_peers.send(action.peerAddress, action.message); }
+
+void Shell::perform(engine::ReadPlatform& action) { m_platform.read(action); }
+
 void Shell::perform(engine::StateChange& action) { spdlog::info("{}: {}", action.component, action.text); }
 
 void Shell::reply(routing::RequestId id, Reply reply)
@@ -82,10 +129,4 @@
     m_upstreams.connect(*catalog);
 }
 
-void Shell::tick()
-{
-    connectUpstreams();
-    m_timers.at(base::BootClock::now() + tickInterval, [this] { tick(); });
-}
-
 }
--- a/Source/papayabend/transport/Shell.h
+++ b/Source/papayabend/transport/Shell.h
@@ -3,6 +3,9 @@
 #include "papayabend/engine/Engine.h"
 #include "papayabend/settings/Settings.h"
 #include "papayabend/transport/Metrics.h"
+#include "papayabend/transport/PeerClient.h"
+#include "papayabend/transport/PeerServer.h"
+#include "papayabend/transport/PlatformReader.h"
 #include "papayabend/transport/Timers.h"
 #include "papayabend/transport/UpstreamClient.h"
 
@@ -15,7 +18,7 @@
 namespace papayabend::transport {
 
 /** Answer to a caller: one alternative for each kind of reply. */
-using Reply = std::variant<query::SearchAnswer, base::Refusal>;
+using Reply = std::variant<query::SearchAnswer, execution::ExecutionAnswer, execution::OutcomeAnswer, base::Refusal>;
 
 /** \class Shell
  * \brief Performs the engine's actions with sockets and timers and feeds the results back as events.
@@ -26,6 +29,11 @@
 
     Shell(engine::Engine&, const settings::Settings&, Metrics&);
 
+    /** Listens for other hosts on \a peerAddress and starts the control path. Returns false if the address cannot
+     * be bound.
+     */
+    bool start(const std::string& peerAddress);
+
     /** Starts a search; \a handler is called once, on any thread. */
     void search(query::SearchRequest, ReplyHandler handler);
     /** Performs actions in order; those that arise meanwhile on the same thread follow after them. */
@@ -39,11 +47,17 @@
     void perform(engine::SendAttempt&);
     void perform(engine::CancelAttempt&);
     void perform(engine::ReplySearch&);
+    void perform(engine::ReplyExecution&);
+    void perform(engine::ReplyOutcome&);
+    void perform(engine::ForwardExecution&);
     void perform(engine::ReplyRefusal&);
     void perform(engine::SetTimer&);
+    void perform(engine::SendPeerMessage&);
+    void perform(engine::ReadPlatform&);
     void perform(engine::StateChange&);
     void reply(routing::RequestId, Reply);
     void connectUpstreams();
+    void readEnded(const std::string& key, engine::ReadStatus, const std::string& text);
     void tick();
 
     engine::Engine& m_engine;
@@ -52,6 +66,9 @@
     std::mutex m_catalogMutex;
     std::shared_ptr<const catalog::Catalog> m_connectedCatalog;
     UpstreamClient m_upstreams;
+    PeerClient m_peers;
+    PlatformReader m_platform;
+    PeerServer m_peerServer;
     Timers m_timers;
 };
 
