--- a/Source/papayabend/engine/PeerMessage.h
+++ b/Source/papayabend/engine/PeerMessage.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "papayabend/admission/Demand.h"
-#include "papayabend/dissemination/Digest.h"
+#include "papayabend/dissemination/StoredValue.h"
 #include "papayabend/execution/TicketRecord.h"
 #include "papayabend/membership/Observation.h"
 #include "papayabend/routing/QuarantineNotice.h"
@@ -12,25 +12,8 @@
 
 namespace papayabend::engine {
 
-/** \struct ValueDelta
- * \brief Changed rows of a published value, or the whole text if the receiver has no usable base.
- */
-struct ValueDelta {
-    std::string key;
-    uint64_t baseVersion { 0 }; /**< 0: \a text is the whole value. */
-    uint64_t version { 0 };
-    uint64_t contentHash { 0 }; /**< Hash of the whole value after the change. */
-    std::string text;
-};
-
-/** \struct ValueRequest
- * \brief Asks a peer for a value newer than the version that the sender has in force.
- */
-struct ValueRequest {
-    std::string key;
-    uint64_t haveVersion { 0 };
-    uint64_t haveContentHash { 0 };
-};
+using dissemination::ValueDelta;
+using dissemination::ValueRequest;
 
 /** \struct PeerMessage
  * \brief Control message between two hosts; sections without content are empty.
@@ -44,9 +27,13 @@
     std::vector<ValueDelta> deltas;
     std::vector<membership::HostObservation> hosts;
     std::vector<admission::DemandReport> demand;
+    uint64_t demandSequence { 0 }; /**< Number of the sender's demand report; 0: the message holds none. */
+    bool countsReceiver { false }; /**< The sender's portions of limits leave room for the receiver's. */
     std::vector<admission::QuotaLease> leases;
     std::vector<routing::QuarantineNotice> quarantine;
     std::vector<execution::TicketRecord> ticketRecords;
+    uint64_t handOver { 0 }; /**< Number of the batch in ticketRecords, to be acknowledged; 0: none. */
+    uint64_t handOverAck { 0 }; /**< Batch that the sender has taken over; 0: none. */
 };
 
 }
--- a/Source/papayabend/transport/HttpEntry.cpp
+++ b/Source/papayabend/transport/HttpEntry.cpp
@@ -1,5 +1,7 @@
 #include "papayabend/transport/HttpEntry.h"
 
+#include "papayabend/transport/HttpExecution.h"
+
 #include <algorithm>
 #include <array>
 #include <future>
@@ -58,6 +60,27 @@
         return it->get<uint64_t>();
     }
 
+    /** Counts a request by path and a refusal by the reason and verdict that its caller received. */
+    void count(Metrics& metrics, const httplib::Request& request, const httplib::Response& response)
+    {
+        const auto& path = request.path;
+        if (path == "/v1/search")
+            metrics.requestReceived(Metrics::Request::Search);
+        else if (path == "/v1/tickets")
+            metrics.requestReceived(Metrics::Request::Ticket);
+        else if (path == "/v1/execute")
+            metrics.requestReceived(Metrics::Request::Execution);
+        else if (path.starts_with("/v1/outcomes/"))
+            metrics.requestReceived(Metrics::Request::Outcome);
+        else if (path == "/v1/entry-hosts")
+            metrics.requestReceived(Metrics::Request::EntryHosts);
+        if (response.status < 400)
+            return;
+        auto json = Json::parse(response.body, nullptr, false);
+        if (json.is_object())
+            metrics.refused(json.value("reason", ""), json.value("verdict", ""));
+    }
+
     bool hasOnlyKnownKeys(const Json& json, base::LastReason& reason)
     {
         constexpr std::array<std::string_view, 5> known { "account", "service", "query", "deadlineMs", "maxHits" };
@@ -118,19 +141,19 @@
     , m_server(settings, [&metrics](base::RefusalCode code) { metrics.refused(code, base::Verdict::NotRun); })
 {
     auto& routes = m_server.routes();
+    routes.set_logger([&metrics](const httplib::Request& request, const httplib::Response& response) {
+        count(metrics, request, response);
+    });
     routes.Post("/v1/search",
         [this](const httplib::Request& request, httplib::Response& response) { search(request, response); });
+    addExecutionRoutes(routes, engine, shell);
     routes.Get("/healthz",
         [](const httplib::Request&, httplib::Response& response) { response.set_content("ok\n", "text/plain"); });
 }
 
 void HttpEntry::search(const httplib::Request& httpRequest, httplib::Response& response)
 {
-    m_metrics.requestReceived(Metrics::Request::Search);
-    auto refuse = [&](const base::Refusal& refusal) {
-        m_metrics.refused(refusal.code, refusal.verdict);
-        writeRefusal(refusal, response);
-    };
+    auto refuse = [&](const base::Refusal& refusal) { writeRefusal(refusal, response); };
     base::LastReason reason;
     auto received = HttpServer::requestReceived();
     auto request = parseSearch(httpRequest.body, received, m_settings, reason);
--- a/Source/papayabend/transport/Metrics.cpp
+++ b/Source/papayabend/transport/Metrics.cpp
@@ -121,6 +121,15 @@
     m_impl->refusals[static_cast<size_t>(code) * verdicts + static_cast<size_t>(verdict)]->Increment();
 }
 
+void Metrics::refused(std::string_view reason, std::string_view verdict)
+{
+    for (size_t n = 0; n < refusalCodes * verdicts; ++n) {
+        auto code = static_cast<base::RefusalCode>(n / verdicts);
+        if (base::toString(code) == reason && base::toString(static_cast<base::Verdict>(n % verdicts)) == verdict)
+            refused(code, static_cast<base::Verdict>(n % verdicts));
+    }
+}
+
 void Metrics::answered(const query::SearchAnswer& answer, base::Duration elapsed)
 {
     const auto& coverage = answer.coverage;
--- a/Source/papayabend/transport/Metrics.h
+++ b/Source/papayabend/transport/Metrics.h
@@ -40,6 +40,8 @@
 
     void requestReceived(Request);
     void refused(base::RefusalCode, base::Verdict);
+    /** Takes the wire names of reason and verdict; unknown names are ignored. */
+    void refused(std::string_view reason, std::string_view verdict);
     void answered(const query::SearchAnswer&, base::Duration elapsed);
     void attemptFinished(routing::AttemptStatus, base::Duration elapsed);
     void controlBytes(Direction, size_t bytes);
--- a/Source/papayabend/transport/Shell.h
+++ b/Source/papayabend/transport/Shell.h
@@ -36,6 +36,8 @@
 
     /** Starts a search; \a handler is called once, on any thread. */
     void search(query::SearchRequest, ReplyHandler handler);
+    /** Starts a non-idempotent request; \a handler is called once, on any thread. */
+    void execute(execution::ExecutionRequest, ReplyHandler handler);
     /** Performs actions in order; those that arise meanwhile on the same thread follow after them. */
     void perform(engine::Actions);
 
@@ -57,6 +59,7 @@
     void perform(engine::StateChange&);
     void reply(routing::RequestId, Reply);
     void connectUpstreams();
+    void forwarded(execution::ExecutionRequest, std::function<void(execution::ForwardReply)> done);
     void readEnded(const std::string& key, engine::ReadStatus, const std::string& text);
     void tick();
 
