cli: Split the command line into subcommands and show table and upstreams

The command line had one query. The operator interface shows the table in force and since when, and the condition of each upstream. The settings cover routing, hedging, retries, quarantine, recovery, admission, quotas and tickets, and are passed to the engine. Probes of upstreams use the Probe call.

--- a/Source/papayabend/cli/Main.cpp
+++ b/Source/papayabend/cli/Main.cpp
@@ -1,51 +1,59 @@
-#include <boost/program_options.hpp>
+#include "papayabend/cli/Command.h"
+
+#include <algorithm>
 #include <exception>
-#include <httplib.h>
+#include <iomanip>
 #include <iostream>
-#include <nlohmann/json.hpp>
 
 namespace {
 
-namespace options = boost::program_options;
+using namespace papayabend;
+
+std::vector<cli::Command> allCommands()
+{
+    auto all = cli::checkCommands();
+    std::ranges::move(cli::queryCommands(), std::back_inserter(all));
+    std::ranges::move(cli::callerCommands(), std::back_inserter(all));
+    all.push_back({ "version", "version of this program", [](cli::options::options_description&) {},
+        [](const cli::options::variables_map&) {
+            std::cout << PAPAYABEND_VERSION << '\n';
+            return static_cast<int>(cli::Success);
+        },
+        {} });
+    return all;
+}
+
+int printHelp(std::ostream& stream, int exitCode)
+{
+    stream << "papayabend COMMAND [OPTIONS]; COMMAND --help describes the options. No command changes a host.\n\n";
+    for (const auto& it : allCommands())
+        stream << "  " << std::left << std::setw(14) << it.name << it.summary << '\n';
+    return exitCode;
+}
 
-int runQuery(const options::variables_map& values)
+int runCommand(const std::vector<std::string>& arguments)
 {
-    httplib::Client client("http://" + values["host"].as<std::string>());
-    nlohmann::json body { { "account", values["account"].as<std::string>() },
-        { "service", values["service"].as<std::string>() }, { "query", values["query"].as<std::string>() },
-        { "deadlineMs", values["deadline-ms"].as<unsigned>() } };
-    auto response = client.Post("/v1/search", body.dump(), "application/json");
-    if (!response) {
-        std::cerr << "papayabend: cannot reach the host: " << httplib::to_string(response.error()) << '\n';
-        return 3;
+    if (arguments.empty())
+        return printHelp(std::cerr, cli::Usage);
+    if (arguments[0] == "--help" || arguments[0] == "help")
+        return printHelp(std::cout, cli::Success);
+    auto all = allCommands();
+    auto it = std::ranges::find(all, arguments[0], &cli::Command::name);
+    if (it == all.end()) {
+        std::cerr << "papayabend: unknown command " << arguments[0] << '\n';
+        return printHelp(std::cerr, cli::Usage);
     }
-    std::cout << nlohmann::ordered_json::parse(response->body).dump(2) << '\n';
-    return response->status == 200 ? 0 : 1;
+    return cli::run(*it, std::span(arguments).subspan(1));
 }
 
 }
 
 int main(int argc, char** argv)
 {
-    options::options_description description("papayabend query options");
-    auto add = description.add_options();
-    add("help", "print this help");
-    add("host", options::value<std::string>()->default_value("127.0.0.1:8080"), "host to ask");
-    add("account", options::value<std::string>()->required(), "client account");
-    add("service", options::value<std::string>()->required(), "service to search");
-    add("query", options::value<std::string>()->required(), "query text");
-    add("deadline-ms", options::value<unsigned>()->default_value(1000), "time for the answer, in milliseconds");
     try {
-        options::variables_map values;
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.contains("help")) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-        return runQuery(values);
+        return runCommand({ argv + 1, argv + argc });
     } catch (const std::exception& error) {
         std::cerr << "papayabend: " << error.what() << '\n';
-        return 2;
+        return cli::Refused;
     }
 }
--- a/Source/papayabend/daemon/Daemon.cpp
+++ b/Source/papayabend/daemon/Daemon.cpp
@@ -73,7 +73,7 @@
 int run(const settings::Settings& settings)
 {
     auto signals = blockStopSignals();
-    engine::Engine engine(std::random_device {}(), identityOf(settings));
+    engine::Engine engine(std::random_device {}(), identityOf(settings), settings.engine);
     engine.configureRouting(settings.routing);
     transport::Metrics metrics;
     transport::Shell shell(engine, settings, metrics);
--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -81,6 +81,7 @@
     std::shared_ptr<const membership::HostView> hostView() const { return m_shared.hostView.load(); }
     const membership::HostIdentity& identity() const { return m_shared.identity; }
     admission::Admission& admission() { return m_admission.admission(); }
+    routing::UpstreamTable& upstreams() { return m_shared.upstreams; }
     const execution::TicketBook& tickets() const { return m_executions.book(); }
 
 private:
--- a/Source/papayabend/settings/ObjectReader.cpp
+++ b/Source/papayabend/settings/ObjectReader.cpp
@@ -108,15 +108,15 @@
     return value;
 }
 
-void ObjectReader::number(const char* key, uint32_t& field, uint32_t min, uint32_t max)
+std::optional<uint64_t> ObjectReader::numberOf(const char* key, uint64_t min, uint64_t max)
 {
     const auto* value = find(key);
     if (!value)
-        return;
-    if (!value->is_number_unsigned() || value->get<uint64_t>() < min || value->get<uint64_t>() > max)
-        fail(key, value, rangeOf("a whole number", min, max));
-    else
-        field = value->get<uint32_t>();
+        return std::nullopt;
+    if (value->is_number_unsigned() && value->get<uint64_t>() >= min && value->get<uint64_t>() <= max)
+        return value->get<uint64_t>();
+    fail(key, value, rangeOf("a whole number", min, max));
+    return std::nullopt;
 }
 
 void ObjectReader::milliseconds(const char* key, base::Duration& field, int64_t min, int64_t max)
--- a/Source/papayabend/settings/ObjectReader.h
+++ b/Source/papayabend/settings/ObjectReader.h
@@ -3,8 +3,10 @@
 #include "papayabend/base/LastReason.h"
 #include "papayabend/base/Time.h"
 
+#include <concepts>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,7 +27,11 @@
     /** \a path is the key of the object in the file, empty for the outermost object. */
     ObjectReader(std::string_view file, std::string path, const Json& object, base::LastReason& reason);
 
-    void number(const char* key, uint32_t& field, uint32_t min, uint32_t max);
+    template <std::unsigned_integral T> void number(const char* key, T& field, uint64_t min, uint64_t max)
+    {
+        if (auto value = numberOf(key, min, max))
+            field = static_cast<T>(*value);
+    }
     void milliseconds(const char* key, base::Duration& field, int64_t min, int64_t max);
     void fraction(const char* key, double& field, double min, double max);
     void flag(const char* key, bool& field);
@@ -50,6 +56,7 @@
     void refuseUnknownKeys();
 
 private:
+    std::optional<uint64_t> numberOf(const char* key, uint64_t min, uint64_t max);
     const Json* find(const char* key);
     const Json* require(const char* key);
     std::string pathOf(std::string_view key) const;
@@ -72,7 +79,7 @@
     {
     }
 
-    void number(const char* key, uint32_t field, uint32_t, uint32_t) { m_object[key] = field; }
+    void number(const char* key, uint64_t field, uint64_t, uint64_t) { m_object[key] = field; }
     void milliseconds(const char* key, base::Duration field, int64_t, int64_t) { m_object[key] = field.count() / 1000; }
     void fraction(const char* key, double field, double, double) { m_object[key] = field; }
     void flag(const char* key, bool field) { m_object[key] = field; }
--- a/Source/papayabend/settings/Settings.cpp
+++ b/Source/papayabend/settings/Settings.cpp
@@ -114,10 +114,28 @@
     keys.number("servingHosts", routing.servingHosts, 1, 100'000);
 }
 
-static void visit(auto& keys, AdmissionSettings& admission)
+static void visit(auto& keys, admission::AdmissionSettings& admission)
 {
     keys.flag("enabled", admission.enabled);
     keys.number("queueLength", admission.queueLength, 1, 100'000);
+    keys.fraction("utilisation", admission.utilisation, 0.1, 1);
+}
+
+static void visit(auto& keys, admission::QuotaSettings& quotas)
+{
+    keys.milliseconds("leaseMs", quotas.leaseTime, 500, minute);
+    keys.milliseconds("pauseMarginMs", quotas.pauseMargin, 1000, minute);
+    keys.fraction("clockRateMargin", quotas.clockRateMargin, 0, 0.5);
+    keys.milliseconds("holdMs", quotas.holdTime, 1000, 60 * minute);
+    keys.milliseconds("windowMs", quotas.window, 1000, 10 * minute);
+}
+
+static void visit(auto& keys, execution::TicketSettings& tickets)
+{
+    keys.milliseconds("validityMs", tickets.validity, 1000, 60 * minute);
+    keys.milliseconds("retentionMs", tickets.retention, 1000, 24 * 60 * minute);
+    keys.number("maxRecords", tickets.maxRecords, 1, 100'000'000);
+    keys.number("maxAnswerBytes", tickets.maxAnswerBytes, 65'536, uint64_t { 64 } << 30U);
 }
 
 static void visit(auto& keys, StopSettings& stop)
@@ -141,7 +159,9 @@
     keys.section("retries", settings.routing.retries);
     keys.section("quarantine", settings.routing.crashes);
     keys.section("recovery", settings.routing.recovery);
-    keys.section("admission", settings.admission);
+    keys.section("admission", settings.engine.admission);
+    keys.section("quotas", settings.engine.quotas);
+    keys.section("tickets", settings.engine.tickets);
     keys.section("stop", settings.stop);
     keys.section("log", settings.log);
 }
--- a/Source/papayabend/settings/Settings.h
+++ b/Source/papayabend/settings/Settings.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/LastReason.h"
 #include "papayabend/base/Time.h"
+#include "papayabend/engine/Engine.h"
 #include "papayabend/routing/RoutingSettings.h"
 
 #include <cstdint>
@@ -57,11 +58,6 @@
     base::Duration maxReconnectDelay { std::chrono::seconds(5) };
 };
 
-struct AdmissionSettings {
-    bool enabled { true };
-    uint32_t queueLength { 256 }; /**< Waiting requests for each client account and service. */
-};
-
 /** \struct StopSettings
  * \brief Phases of a planned stop.
  */
@@ -85,7 +81,7 @@
     EntrySettings operators { .threads = 2, .queuedRequests = 64, .connections = 64, .bodyBytes = 1024 };
     UpstreamSettings upstreams;
     routing::RoutingSettings routing; /**< Sections routing, hedging, retries, quarantine and recovery. */
-    AdmissionSettings admission;
+    engine::EngineSettings engine; /**< Sections admission, quotas and tickets. */
     StopSettings stop;
     LogSettings log;
 };
--- a/Source/papayabend/transport/HttpOperator.cpp
+++ b/Source/papayabend/transport/HttpOperator.cpp
@@ -1,5 +1,8 @@
 #include "papayabend/transport/HttpOperator.h"
 
+#include "papayabend/transport/TableJson.h"
+
+#include <ctime>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -13,6 +16,15 @@
 
     std::string dump(const Json& json) { return json.dump(2, ' ', false, Json::error_handler_t::replace) + "\n"; }
 
+    std::string timeText(std::chrono::system_clock::time_point time)
+    {
+        auto t = std::chrono::system_clock::to_time_t(time);
+        std::tm parts {};
+        gmtime_r(&t, &parts);
+        char buf[32];
+        return { buf, std::strftime(buf, sizeof buf, "%FT%TZ", &parts) };
+    }
+
     double seconds(base::Duration time) { return std::chrono::duration<double>(time).count(); }
 
 }
@@ -32,6 +44,7 @@
             [type, text](const httplib::Request&, httplib::Response& response) { response.set_content(text(), type); });
     };
     get("/v1/status", jsonType, [this] { return status(); });
+    get("/v1/table", jsonType, [this] { return table(); });
     get("/v1/upstreams", jsonType, [this] { return upstreams(); });
     get("/metrics", "text/plain; version=0.0.4", [this] { return m_metrics.text(gauges()); });
     get("/healthz", "text/plain", [] { return std::string("ok\n"); });
@@ -61,15 +74,30 @@
         { "callerConnections", m_entry.server().openConnections() } });
 }
 
+std::string HttpOperator::table() const
+{
+    auto table = m_engine.table();
+    Json json { { "inForceSince", table->version ? Json(timeText(m_shell.tableSince())) : Json(nullptr) },
+        { "contentHash", std::to_string(table->contentHash) } };
+    json.update(toJson(*table));
+    return dump(json);
+}
+
 std::string HttpOperator::upstreams() const
 {
     auto catalog = m_engine.catalog();
     auto connections = m_shell.upstreams().connections();
+    auto& states = m_engine.upstreams();
+    auto now = base::BootClock::now();
     Json list = Json::array();
     for (const auto& it : catalog->upstreams) {
         auto own = connections[it.address];
+        const auto& state = states.state(it.id);
+        auto condition = routing::conditionOf(state, states.settings(), now);
         list.push_back({ { "name", it.name }, { "address", it.address }, { "failureDomain", it.failureDomain },
             { "slots", it.slots }, { "connectionLimit", it.connectionLimit }, { "leaving", it.isLeaving },
+            { "condition", routing::toString(condition) }, { "inFlight", state.inFlight.load() },
+            { "latencyMs", state.latencyUs.load() / 1000 }, { "reportedQueue", state.reportedQueue.load() },
             { "connections", own.total }, { "readyConnections", own.ready } });
     }
     return dump({ { "catalogVersion", catalog->version }, { "upstreams", std::move(list) } });
--- a/Source/papayabend/transport/HttpOperator.h
+++ b/Source/papayabend/transport/HttpOperator.h
@@ -27,6 +27,7 @@
 
 private:
     std::string status() const;
+    std::string table() const;
     std::string upstreams() const;
     Gauges gauges() const;
 
--- a/Source/papayabend/transport/Shell.cpp
+++ b/Source/papayabend/transport/Shell.cpp
@@ -47,7 +47,7 @@
 void Shell::tick()
 {
     perform(m_engine.tick(base::BootClock::now()));
-    connectUpstreams();
+    takeNewValues();
     m_timers.at(base::BootClock::now() + tickInterval, [this] { tick(); });
 }
 
@@ -152,9 +152,19 @@
     handler(std::move(reply));
 }
 
-void Shell::connectUpstreams()
+std::chrono::system_clock::time_point Shell::tableSince() const
 {
-    std::scoped_lock lock(m_catalogMutex);
+    std::scoped_lock lock(m_valuesMutex);
+    return m_tableSince;
+}
+
+void Shell::takeNewValues()
+{
+    std::scoped_lock lock(m_valuesMutex);
+    if (auto table = m_engine.table(); table != m_seenTable) {
+        m_seenTable = std::move(table);
+        m_tableSince = std::chrono::system_clock::now();
+    }
     auto catalog = m_engine.catalog();
     if (catalog == m_connectedCatalog)
         return;
--- a/Source/papayabend/transport/Shell.h
+++ b/Source/papayabend/transport/Shell.h
@@ -9,6 +9,7 @@
 #include "papayabend/transport/Timers.h"
 #include "papayabend/transport/UpstreamClient.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -42,6 +43,8 @@
     void perform(engine::Actions);
 
     const UpstreamClient& upstreams() const { return m_upstreams; }
+    /** Returns the time of day at which the table in force was first seen in force, to 100 ms. */
+    std::chrono::system_clock::time_point tableSince() const;
     /** Requests that have no reply yet. */
     size_t openRequests() const { return m_handlers.size(); }
 
@@ -58,7 +61,7 @@
     void perform(engine::ReadPlatform&);
     void perform(engine::StateChange&);
     void reply(routing::RequestId, Reply);
-    void connectUpstreams();
+    void takeNewValues();
     void forwarded(execution::ExecutionRequest, std::function<void(execution::ForwardReply)> done);
     void readEnded(const std::string& key, engine::ReadStatus, const std::string& text);
     void tick();
@@ -66,7 +69,9 @@
     engine::Engine& m_engine;
     Metrics& m_metrics;
     tbb::concurrent_hash_map<routing::RequestId, ReplyHandler> m_handlers;
-    std::mutex m_catalogMutex;
+    mutable std::mutex m_valuesMutex;
+    std::shared_ptr<const table::Table> m_seenTable;
+    std::chrono::system_clock::time_point m_tableSince;
     std::shared_ptr<const catalog::Catalog> m_connectedCatalog;
     UpstreamClient m_upstreams;
     PeerClient m_peers;
--- a/Source/papayabend/transport/UpstreamClient.cpp
+++ b/Source/papayabend/transport/UpstreamClient.cpp
@@ -56,6 +56,8 @@
         protocol::SearchReply searchReply;
         protocol::ExecuteCall executeCall;
         protocol::ExecuteReply executeReply;
+        protocol::ProbeCall probeCall;
+        protocol::ProbeReply probeReply;
     };
 
     AttemptStatus statusOf(const Call& call, const grpc::Status& status)
@@ -84,6 +86,12 @@
         });
     }
 
+    void takeProbeReply(Call& call)
+    {
+        call.result.status = AttemptStatus::Ran;
+        call.result.load = loadOf(call.probeReply.load());
+    }
+
     void takeExecuteReply(Call& call)
     {
         const auto& reply = call.executeReply;
@@ -167,6 +175,11 @@
     call->lossesBefore = call->connection->losses;
     auto* stub = call->connection->stub.get();
     auto impl = shared_from_this();
+    if (attempt.isProbe) {
+        stub->async()->Probe(&call->context, &call->probeCall, &call->probeReply,
+            [impl, call](const grpc::Status& status) { impl->finish(call, status, takeProbeReply); });
+        return;
+    }
     if (attempt.isExecution) {
         call->executeCall.set_service(attempt.service);
         call->executeCall.set_body(attempt.body);
