--- a/Source/papayabend/daemon/Daemon.cpp
+++ b/Source/papayabend/daemon/Daemon.cpp
@@ -47,18 +47,6 @@
         return sigtimedwait(&signals, nullptr, &timeout) > 0;
     }
 
-    void logServing(const transport::HttpOperator& operators, std::string& last)
-    {
-        auto reason = operators.notServingReason();
-        if (reason == last)
-            return;
-        if (reason.empty())
-            spdlog::info("host: serving");
-        else
-            spdlog::warn("host: not serving: {}", reason);
-        last = reason;
-    }
-
     void drain(const transport::Shell& shell, base::Duration limit)
     {
         auto end = base::BootClock::now() + limit;
@@ -92,9 +80,7 @@
     spdlog::info("host: {} started, incarnation {}, callers {}, peers {}, operators {}", settings.host.name,
         engine.identity().incarnation, settings.host.callerAddress, settings.host.peerAddress,
         settings.host.operatorAddress);
-    std::string reason;
-    while (!stopRequested(signals))
-        logServing(operators, reason);
+    while (!stopRequested(signals)) { }
     spdlog::info("host: stop requested, draining {} requests", shell.openRequests());
     entry.stopAccepting();
     drain(shell, settings.stop.drain);
--- a/Source/papayabend/transport/HttpServer.cpp
+++ b/Source/papayabend/transport/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <atomic>
 #include <boost/asio.hpp>
+#include <future>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -23,6 +24,8 @@
     constexpr auto jsonType = "application/json";
     // Pause after a failed accept, for example when the process has no file descriptor left.
     constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
+    // Time for which a stopping server still answers on connections that are open.
+    constexpr std::chrono::milliseconds lingerTime { 300 };
 
     /** State of a connection. */
     enum class Phase {
@@ -160,6 +163,7 @@
     Refused refused;
     Routes routes;
     asio::io_context io { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> work { io.get_executor() };
     tcp::acceptor acceptor;
     asio::steady_timer acceptTimer;
     asio::thread_pool workers;
@@ -394,11 +398,17 @@
     asio::post(m_impl->io, [impl = m_impl] {
         error_code ignored;
         impl->isStopping = true;
+        // Connections that wait to be accepted would be reset by the close.
+        impl->acceptor.non_blocking(true, ignored);
+        for (error_code ec; !ec;) {
+            auto socket = impl->acceptor.accept(ec);
+            if (!ec)
+                impl->accepted(std::move(socket));
+        }
         impl->acceptor.close(ignored);
-        auto all = impl->connections;
-        for (const auto& it : all) {
-            if (it->phase == Phase::Idle)
-                it->close();
+        for (const auto& it : impl->connections) {
+            if (it->phase == Phase::Idle || it->phase == Phase::Reading)
+                it->setTimer(lingerTime);
         }
     });
 }
@@ -407,7 +417,19 @@
 {
     if (!m_impl->thread.joinable())
         return;
+    stopAccepting();
+    auto stopped = std::make_shared<std::promise<void>>();
+    asio::post(m_impl->io, [stopped] { stopped->set_value(); });
+    stopped->get_future().wait();
+    // Idle connections may carry a request that is under way, and answers are still being written.
+    auto waitForConnections = [this](base::Duration limit) {
+        auto end = base::BootClock::now() + limit;
+        while (m_impl->connectionCount > 0 && base::BootClock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    };
+    waitForConnections(lingerTime + m_impl->settings.writeTimeout);
     m_impl->workers.join();
+    waitForConnections(m_impl->settings.writeTimeout);
     m_impl->io.stop();
     m_impl->thread.join();
     m_impl->connections.clear();
--- a/Source/papayabend/transport/HttpServer.h
+++ b/Source/papayabend/transport/HttpServer.h
@@ -38,7 +38,7 @@
 
     /** Listens on \a address (IP address and port); returns false if it cannot be bound. */
     bool start(const std::string& address);
-    /** Closes the listening socket and every connection after its present answer. */
+    /** Closes the listening socket; open connections get an answer to one more request for a short time. */
     void stopAccepting();
     /** Ends all connections and waits for running routes. */
     void stop();
