--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -3,8 +3,10 @@
 #include "papayabend/engine/Action.h"
 #include "papayabend/engine/AdmissionPath.h"
 #include "papayabend/engine/ControlPath.h"
+#include "papayabend/engine/EntryPath.h"
 #include "papayabend/engine/ExecutionPath.h"
 #include "papayabend/engine/QuarantineExchange.h"
+#include "papayabend/engine/ReportPath.h"
 #include "papayabend/engine/SearchPath.h"
 #include "papayabend/engine/SharedState.h"
 
@@ -25,6 +27,8 @@
     admission::AdmissionSettings admission;
     admission::QuotaSettings quotas;
     execution::TicketSettings tickets;
+    entry::EntrySettings entry;
+    StopSettings stop;
 };
 
 /** A ticket with the time for which it can be used, or the reason for which none was issued. */
@@ -63,6 +67,11 @@
     /** Reports that a read ended; called after the value, if there is one, has been passed on. */
     Actions platformReadEnded(std::string_view key, ReadStatus, base::TimePoint now);
     Actions peerMessage(const PeerMessage&, base::TimePoint now);
+    /** Starts a planned stop: withdraw, drain, hand over, stop. tick() leads it on; stage() tells its end. */
+    Actions beginStop(base::TimePoint now);
+    membership::Lifecycle stage() const { return m_entry.stage(); }
+    /** Hosts that callers should use, and the address of another host for a caller that should not use this one. */
+    EntryPath& entry() { return m_entry; }
     /** Called every 100 ms. */
     Actions tick(base::TimePoint now);
 
@@ -72,6 +81,8 @@
     std::shared_ptr<const table::Table> table() const { return m_shared.table.load(); }
     std::shared_ptr<const membership::HostView> hostView() const { return m_shared.hostView.load(); }
     const membership::HostIdentity& identity() const { return m_shared.identity; }
+    /** Returns the service-level burn of the requests that callers sent to this host. */
+    report::Report report(base::TimePoint now);
     admission::Admission& admission() { return m_admission.admission(); }
     routing::UpstreamTable& upstreams() { return m_shared.upstreams; }
     const execution::TicketBook& tickets() const { return m_executions.book(); }
@@ -86,8 +97,10 @@
     SearchPath m_searches;
     ExecutionPath m_executions;
     AdmissionPath m_admission;
+    EntryPath m_entry;
     ControlPath m_control;
     QuarantineExchange m_quarantine;
+    ReportPath m_report;
     std::atomic<routing::RequestId> m_lastRequest { 0 };
 };
 
--- a/Source/replay/Event.h
+++ b/Source/replay/Event.h
@@ -10,6 +10,9 @@
 
 enum class EventKind : uint8_t {
     NextArrival, /**< The arrival source is due. */
+    ExecutionArrives, /**< subject: index in World::requests. */
+    ForwardArrives, /**< subject: index in World::forwards. */
+    ForwardReplyArrives, /**< subject: index in World::forwards. */
     RequestArrives, /**< subject: index in World::requests. */
     CallArrives, /**< A call reaches its upstream. subject: call slot, check: its generation. */
     ServiceEnds, /**< subject: call slot, check: its generation. */
@@ -18,7 +21,9 @@
     CancelArrives, /**< A cancellation reaches the upstream. subject: call slot, check: its generation. */
     Timer, /**< subject: request number of the host, check: incarnation of the host. */
     Tick, /**< check: incarnation of the host. */
-    PlatformAnswers, /**< subject: read slot, check: incarnation of the host. */
+    PlatformAnswers, /**< A read's end reaches its host. subject: read slot, check: its generation. */
+    PlatformWaitEnds, /**< subject: read slot, check: its generation. */
+    PeerMessageArrives, /**< subject: index in World::peerMessages, check: incarnation of the receiver. */
     Scripted, /**< subject: index in World::scripts. */
 };
 
--- a/Source/replay/Perform.cpp
+++ b/Source/replay/Perform.cpp
@@ -15,7 +15,13 @@
             return nullptr;
         }
         auto& request = world.requests[it->second];
-        host.requests.erase(it);
+        if (request.outcome != RequestOutcome::Open) {
+            violate(world, "second reply to request " + std::to_string(request.number));
+            return nullptr;
+        }
+        // An execution may be sent after its caller's deadline, so the number stays known.
+        if (request.kind == RequestKind::Search)
+            host.requests.erase(it);
         request.finishedAt = world.now + request.callerDelay.value_or(world.callerDelay);
         return &request;
     }
@@ -42,22 +48,50 @@
 
         void operator()(engine::ReplyRefusal& action) const
         {
+            if (replyToForward(world, host, action.request, action.refusal))
+                return;
+            if (auto* request = takeOpenRequest(world, host, action.request))
+                refuse(world, *request, action.refusal);
+        }
+
+        void operator()(engine::ReplyExecution& action) const
+        {
+            if (replyToForward(world, host, action.request, action.answer))
+                return;
             auto* request = takeOpenRequest(world, host, action.request);
             if (!request)
                 return;
-            request->outcome = RequestOutcome::Refused;
-            request->verdict = action.refusal.verdict;
-            checkRefusal(world, *request, action.refusal);
-            if (world.recorder.refused)
-                world.recorder.refused(world, *request, action.refusal);
-            request->searched = {};
+            request->outcome = RequestOutcome::Answered;
+            request->coverage = 1;
+            checkExecuted(world, *request, action.answer.body);
+            if (world.recorder.executed)
+                world.recorder.executed(world, *request, action.answer);
         }
 
+        void operator()(engine::ReplyOutcome& action) const
+        {
+            if (replyToForward(world, host, action.request, action.answer))
+                return;
+            auto* request = takeOpenRequest(world, host, action.request);
+            if (!request)
+                return;
+            request->outcome = RequestOutcome::Answered;
+            request->coverage = 1;
+            checkOutcome(world, *request, action.answer);
+            if (world.recorder.outcomeTold)
+                world.recorder.outcomeTold(world, *request, action.answer);
+        }
+
+        void operator()(engine::ForwardExecution& action) const { forwardExecution(world, host, std::move(action)); }
+
         void operator()(engine::SetTimer& action) const
         {
             schedule(world, action.at, EventKind::Timer, host.index, action.request, host.incarnation);
         }
 
+        void operator()(engine::SendPeerMessage& action) const { sendPeerMessage(world, host, std::move(action)); }
+        void operator()(engine::ReadPlatform& action) const { readPlatform(world, host, action); }
+
         void operator()(engine::StateChange& action) const
         {
             if (world.recorder.stateChanged)
