--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -132,9 +132,7 @@
     running->lastAttempt = id << attemptCounterBits;
     auto catalog = m_shared.catalog.load();
     m_shared.upstreams.catalogSeen(*catalog, now);
-    Actions actions;
-    for (auto& probe : routing::dueProbes(m_shared.upstreams, *catalog, id, m_lastProbe, now))
-        actions.emplace_back(SendAttempt { std::move(probe) });
+    auto actions = probe(id, now);
     const auto& service = running->search.request.service;
     Searches::accessor accessor;
     m_searches.insert(accessor, { id, running });
@@ -164,10 +162,11 @@
     return actions;
 }
 
-Actions SearchPath::tick(base::TimePoint now)
+Actions SearchPath::probe(routing::RequestId id, base::TimePoint now)
 {
     Actions actions;
-    addProbes(*m_shared.catalog.load(), actions, now);
+    for (auto& probe : routing::dueProbes(m_shared.upstreams, *m_shared.catalog.load(), id, m_lastProbe, now))
+        actions.emplace_back(SendAttempt { std::move(probe) });
     return actions;
 }
 
--- a/Source/papayabend/engine/SearchPath.h
+++ b/Source/papayabend/engine/SearchPath.h
@@ -27,8 +27,8 @@
     Actions start(query::SearchRequest, base::TimePoint now);
     Actions attemptFinished(const routing::AttemptResult&, base::TimePoint now);
     Actions timerExpired(routing::RequestId, base::TimePoint now);
-    /** Sends probes that are due, also while no search arrives. */
-    Actions tick(base::TimePoint now);
+    /** Sends the probes that are due; the arrival of a request of any kind is the occasion. */
+    Actions probe(routing::RequestId, base::TimePoint now);
 
 private:
     struct RunningSearch {
