--- /dev/null
+++ b/Source/papayabend/daemon/Daemon.cpp
@@ -0,0 +1,93 @@
+#include "papayabend/daemon/Daemon.h"
+
+#include "papayabend/engine/Engine.h"
+#include "papayabend/transport/HttpEntry.h"
+#include "papayabend/transport/HttpOperator.h"
+#include "papayabend/transport/Metrics.h"
+#include "papayabend/transport/Shell.h"
+
+#include <csignal>
+#include <pthread.h>
+#include <random>
+#include <spdlog/spdlog.h>
+
+namespace papayabend::daemon {
+
+namespace {
+
+    constexpr int exitCannotListen = 1;
+    constexpr long pollNanoseconds = 100'000'000;
+
+    membership::HostIdentity identityOf(const settings::Settings& settings)
+    {
+        const auto& host = settings.host;
+        // The time of day, because an incarnation must be higher than that of the previous process, which left no
+        // state behind.
+        auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        auto incarnation = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+        return { host.name, host.callerAddress, host.peerAddress, host.failureDomain, host.region,
+            static_cast<uint64_t>(incarnation), settings.platform.seedPeers };
+    }
+
+    /** Blocks the signals of a planned stop in this thread and in all threads started later. */
+    sigset_t blockStopSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        return signals;
+    }
+
+    /** Returns whether a stop signal arrived within the poll time. */
+    bool stopRequested(const sigset_t& signals)
+    {
+        timespec timeout { 0, pollNanoseconds };
+        return sigtimedwait(&signals, nullptr, &timeout) > 0;
+    }
+
+    void drain(const transport::Shell& shell, base::Duration limit)
+    {
+        auto end = base::BootClock::now() + limit;
+        while (shell.openRequests() > 0 && base::BootClock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        if (auto open = shell.openRequests())
+            spdlog::warn("host: stopping with {} requests in flight", open);
+    }
+
+}
+
+int run(const settings::Settings& settings)
+{
+    auto signals = blockStopSignals();
+    engine::Engine engine(std::random_device {}(), identityOf(settings), settings.engine);
+    engine.configureRouting(settings.routing);
+    transport::Metrics metrics;
+    transport::Shell shell(engine, settings, metrics);
+    transport::HttpEntry entry(engine, shell, metrics, settings.entry);
+    transport::HttpOperator operators(engine, shell, metrics, entry, settings);
+    auto cannotListen = [](const char* kind, const std::string& address) {
+        spdlog::error("host: cannot listen on the {} address {}", kind, address);
+        return exitCannotListen;
+    };
+    if (!operators.start())
+        return cannotListen("operator", settings.host.operatorAddress);
+    if (!shell.start(settings.host.peerAddress))
+        return cannotListen("peer", settings.host.peerAddress);
+    if (!entry.start(settings.host.callerAddress))
+        return cannotListen("caller", settings.host.callerAddress);
+    spdlog::info("host: {} started, incarnation {}, callers {}, peers {}, operators {}", settings.host.name,
+        engine.identity().incarnation, settings.host.callerAddress, settings.host.peerAddress,
+        settings.host.operatorAddress);
+    while (!stopRequested(signals)) { }
+    spdlog::info("host: stop requested, draining {} requests", shell.openRequests());
+    entry.stopAccepting();
+    drain(shell, settings.stop.drain);
+    entry.stop();
+    operators.stop();
+    spdlog::info("host: stopped");
+    return 0;
+}
+
+}
--- a/Source/papayabend/transport/Shell.h
+++ b/Source/papayabend/transport/Shell.h
@@ -1,14 +1,18 @@
 #pragma once
 
 #include "papayabend/engine/Engine.h"
+#include "papayabend/settings/Settings.h"
+#include "papayabend/transport/Metrics.h"
 #include "papayabend/transport/PeerClient.h"
 #include "papayabend/transport/PeerServer.h"
 #include "papayabend/transport/PlatformReader.h"
 #include "papayabend/transport/Timers.h"
 #include "papayabend/transport/UpstreamClient.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <tbb/concurrent_hash_map.h>
 #include <variant>
 
@@ -24,8 +28,7 @@
 public:
     using ReplyHandler = std::function<void(Reply)>;
 
-    /** \a platformAddress is the IP address and port of the configuration service and the host list. */
-    explicit Shell(engine::Engine&, std::string platformAddress = {});
+    Shell(engine::Engine&, const settings::Settings&, Metrics&);
 
     /** Listens for other hosts on \a peerAddress and starts the control path. Returns false if the address cannot
      * be bound.
@@ -36,8 +39,15 @@
     void search(query::SearchRequest, ReplyHandler handler);
     /** Starts a non-idempotent request; \a handler is called once, on any thread. */
     void execute(execution::ExecutionRequest, ReplyHandler handler);
+    /** Performs actions in order; those that arise meanwhile on the same thread follow after them. */
     void perform(engine::Actions);
 
+    const UpstreamClient& upstreams() const { return m_upstreams; }
+    /** Returns the time of day at which the table in force was first seen in force, to 100 ms. */
+    std::chrono::system_clock::time_point tableSince() const;
+    /** Requests that have no reply yet. */
+    size_t openRequests() const { return m_handlers.size(); }
+
 private:
     void perform(engine::SendAttempt&);
     void perform(engine::CancelAttempt&);
@@ -51,12 +61,18 @@
     void perform(engine::ReadPlatform&);
     void perform(engine::StateChange&);
     void reply(routing::RequestId, Reply);
+    void takeNewValues();
     void forwarded(execution::ExecutionRequest, std::function<void(execution::ForwardReply)> done);
     void readEnded(const std::string& key, engine::ReadStatus, const std::string& text);
     void tick();
 
     engine::Engine& m_engine;
+    Metrics& m_metrics;
     tbb::concurrent_hash_map<routing::RequestId, ReplyHandler> m_handlers;
+    mutable std::mutex m_valuesMutex;
+    std::shared_ptr<const table::Table> m_seenTable;
+    std::chrono::system_clock::time_point m_tableSince;
+    std::shared_ptr<const catalog::Catalog> m_connectedCatalog;
     UpstreamClient m_upstreams;
     PeerClient m_peers;
     PlatformReader m_platform;
