--- a/Source/papayabend/report/Report.cpp
+++ b/Source/papayabend/report/Report.cpp
@@ -158,7 +158,7 @@
     std::map<std::string, Line> services;
     for (const auto& line : report.lines) {
         auto [it, isNew] = services.try_emplace(line.service, line);
-        it->second.account = "*";
+        it->second.account.assign(1, '*');
         if (isNew)
             continue;
         add(it->second, line);
--- a/Source/replay/ControlScenarios.cpp
+++ b/Source/replay/ControlScenarios.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <malloc.h>
 #include <string>
 #include <vector>
 
@@ -210,4 +211,53 @@
     return figures;
 }
 
+Figures measureControlValues(const MeasureOptions& options)
+{
+    Figures figures;
+    figures.columns = { "value", "bytes", "memory MB of host", "change ms", "delta bytes", "delta applied ms" };
+    auto settings = fleetOf(options, 1600);
+    settings.accounts = 14'000;
+    settings.upstreams = 9100;
+    settings.seedsPerDomain = 0;
+    ControlFleet fleet(settings);
+    auto before = mallinfo2().uordblks;
+    fleet.startHost(0);
+    fleet.runFor(5s);
+    auto memory = static_cast<double>(mallinfo2().uordblks - before) / 1e6;
+    fleet.startHost(1);
+    fleet.runFor(5s);
+    auto timed = [](auto&& function) {
+        auto start = std::chrono::steady_clock::now();
+        auto actions = function();
+        std::chrono::duration<double, std::milli> elapsed = std::chrono::steady_clock::now() - start;
+        return std::pair(elapsed.count(), std::move(actions));
+    };
+    for (const std::string key : { "table", "catalog" }) {
+        auto text = key == "table" ? fleet.tableText(2, 7000) : fleet.catalogText(2, 4500);
+        auto [changeTime, actions]
+            = timed([&] { return fleet.hosts[0].control->valuePublished(key, text, fleet.now()); });
+        const engine::PeerMessage* message = nullptr;
+        for (const auto& action : actions) {
+            if (const auto* send = std::get_if<engine::SendPeerMessage>(&action); send && !send->message.deltas.empty())
+                message = &send->message;
+        }
+        if (!message) {
+            ++figures.violations;
+            figures.violationTexts.push_back("no delta of " + key + " was pushed");
+            continue;
+        }
+        auto [applyTime, others] = timed([&] { return fleet.hosts[1].control->peerMessage(*message, fleet.now()); });
+        auto version = key == "table" ? fleet.hosts[1].shared->table.load()->version
+                                      : fleet.hosts[1].shared->catalog.load()->version;
+        if (version != 2) {
+            ++figures.violations;
+            figures.violationTexts.push_back("the delta of " + key + " was not applied");
+        }
+        figures.rows.push_back({ key, std::to_string(text.size()), formatNumber(memory, 1),
+            formatNumber(changeTime, 1), std::to_string(message->deltas[0].text.size()),
+            formatNumber(applyTime, 1) });
+    }
+    return figures;
+}
+
 }
--- a/Source/replay/Scenario.cpp
+++ b/Source/replay/Scenario.cpp
@@ -19,6 +19,8 @@
             measureControlRestart },
         { "control-outage", "platform reads after an outage of the platform and a healed partition",
             measureControlOutage },
+        { "control-values", "memory of a host and processor time of a change at the largest values",
+            measureControlValues },
         { "executions", "non-idempotent requests at several hosts under faults, alone and together",
             measureExecutions },
         { "shares", "requests passed for each account over its grant, several hosts", measureShares },
--- a/Source/replay/Scenario.h
+++ b/Source/replay/Scenario.h
@@ -71,6 +71,7 @@
 Figures measureControlSpread(const MeasureOptions&);
 Figures measureControlRestart(const MeasureOptions&);
 Figures measureControlOutage(const MeasureOptions&);
+Figures measureControlValues(const MeasureOptions&);
 Figures measureExecutions(const MeasureOptions&);
 Figures measureShares(const MeasureOptions&);
 Figures measureLimits(const MeasureOptions&);
