--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -84,6 +84,7 @@
     /** Returns the service-level burn of the requests that callers sent to this host. */
     report::Report report(base::TimePoint now);
     admission::Admission& admission() { return m_admission.admission(); }
+    routing::UpstreamTable& upstreams() { return m_shared.upstreams; }
     const execution::TicketBook& tickets() const { return m_executions.book(); }
 
 private:
--- a/Source/papayabend/transport/Shell.cpp
+++ b/Source/papayabend/transport/Shell.cpp
@@ -2,6 +2,8 @@
 
 #include "papayabend/transport/ForwardCodec.h"
 
+#include <deque>
+#include <iterator>
 #include <spdlog/spdlog.h>
 
 namespace papayabend::transport {
@@ -12,12 +14,15 @@
 
 }
 
-Shell::Shell(engine::Engine& engine, std::string platformAddress)
+Shell::Shell(engine::Engine& engine, const settings::Settings& settings, Metrics& metrics)
     : m_engine(engine)
-    , m_upstreams([this](const routing::AttemptResult& result) {
-        perform(m_engine.attemptFinished(result, base::BootClock::now()));
-    })
-    , m_platform(std::move(platformAddress),
+    , m_metrics(metrics)
+    , m_upstreams(settings.upstreams,
+          [this](const routing::AttemptResult& result, base::Duration elapsed) {
+              m_metrics.attemptFinished(result.status, elapsed);
+              perform(m_engine.attemptFinished(result, base::BootClock::now()));
+          })
+    , m_platform(settings.platform.address,
           [this](const std::string& key, engine::ReadStatus status, const std::string& text) {
               readEnded(key, status, text);
           })
@@ -42,6 +47,7 @@
 void Shell::tick()
 {
     perform(m_engine.tick(base::BootClock::now()));
+    takeNewValues();
     m_timers.at(base::BootClock::now() + tickInterval, [this] { tick(); });
 }
 
@@ -69,8 +75,20 @@
 
 void Shell::perform(engine::Actions actions)
 {
-    for (auto& action : actions)
+    // An attempt that ends at once yields more actions before the present list is done. They are queued, because a
+    // cancellation that overtakes its attempt would be without effect.
+    thread_local std::deque<engine::Action> pending;
+    thread_local bool isPerforming = false;
+    std::ranges::move(actions, std::back_inserter(pending));
+    if (isPerforming)
+        return;
+    isPerforming = true;
+    while (!pending.empty()) {
+        auto action = std::move(pending.front());
+        pending.pop_front();
         std::visit([this](auto& it) { perform(it); }, action);
+    }
+    isPerforming = false;
 }
 
 void Shell::perform(engine::SendAttempt& action) { m_upstreams.send(action.attempt); }
@@ -134,4 +152,24 @@
     handler(std::move(reply));
 }
 
+std::chrono::system_clock::time_point Shell::tableSince() const
+{
+    std::scoped_lock lock(m_valuesMutex);
+    return m_tableSince;
+}
+
+void Shell::takeNewValues()
+{
+    std::scoped_lock lock(m_valuesMutex);
+    if (auto table = m_engine.table(); table != m_seenTable) {
+        m_seenTable = std::move(table);
+        m_tableSince = std::chrono::system_clock::now();
+    }
+    auto catalog = m_engine.catalog();
+    if (catalog == m_connectedCatalog)
+        return;
+    m_connectedCatalog = catalog;
+    m_upstreams.connect(*catalog);
+}
+
 }
