daemon: Run the planned stop of the engine and serve the burn report

SIGTERM now starts the engine's stop: the host withdraws, drains and hands over while it still listens, and then ends. The operator interface and the command line show the burn report. Settings cover entry answers and the stop.

--- a/Source/papayabend/cli/QueryCommands.cpp
+++ b/Source/papayabend/cli/QueryCommands.cpp
@@ -76,6 +76,22 @@
             {} };
     }
 
+    Command reportCommand()
+    {
+        auto command = queryCommand("report", "service-level burn of a host", "/v1/report", {});
+        command.run = [](const options::variables_map& values) {
+            auto isJson = values["json"].as<bool>();
+            auto answer = getFrom(values["host"].as<std::string>(), isJson ? "/v1/report" : "/v1/report.txt");
+            if (!answer)
+                return static_cast<int>(Unreachable);
+            if (answer->status != 200)
+                return reportRefusal(*answer);
+            std::cout << answer->text;
+            return static_cast<int>(Success);
+        };
+        return command;
+    }
+
 }
 
 std::vector<Command> queryCommands()
@@ -83,6 +99,7 @@
     return {
         queryCommand("status", "state of a host", "/v1/status", printFields),
         queryCommand("table", "table in force on a host, and since when", "/v1/table", printTable),
+        reportCommand(),
         queryCommand("upstreams", "upstreams as a host sees them", "/v1/upstreams", printUpstreams),
     };
 }
--- a/Source/papayabend/daemon/Daemon.cpp
+++ b/Source/papayabend/daemon/Daemon.cpp
@@ -16,6 +16,8 @@
 namespace {
 
     constexpr int exitCannotListen = 1;
+    // The engine ends the hand-over itself; this ends a stop whose peers do not answer.
+    constexpr std::chrono::seconds handOverLimit { 30 };
     constexpr long pollNanoseconds = 100'000'000;
 
     membership::HostIdentity identityOf(const settings::Settings& settings)
@@ -47,10 +49,12 @@
         return sigtimedwait(&signals, nullptr, &timeout) > 0;
     }
 
-    void drain(const transport::Shell& shell, base::Duration limit)
+    void finishStop(engine::Engine& engine, transport::Shell& shell, const settings::Settings& settings)
     {
+        const auto& stop = settings.engine.stop;
+        auto limit = stop.announcement + settings.engine.entry.timeToLive + stop.drain + handOverLimit;
         auto end = base::BootClock::now() + limit;
-        while (shell.openRequests() > 0 && base::BootClock::now() < end)
+        while (engine.stage() != membership::Lifecycle::Stopped && base::BootClock::now() < end)
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
         if (auto open = shell.openRequests())
             spdlog::warn("host: stopping with {} requests in flight", open);
@@ -81,9 +85,9 @@
         engine.identity().incarnation, settings.host.callerAddress, settings.host.peerAddress,
         settings.host.operatorAddress);
     while (!stopRequested(signals)) { }
-    spdlog::info("host: stop requested, draining {} requests", shell.openRequests());
-    entry.stopAccepting();
-    drain(shell, settings.stop.drain);
+    spdlog::info("host: stop requested, {} requests in flight", shell.openRequests());
+    shell.perform(engine.beginStop(base::BootClock::now()));
+    finishStop(engine, shell, settings);
     entry.stop();
     operators.stop();
     spdlog::info("host: stopped");
--- a/Source/papayabend/settings/Settings.cpp
+++ b/Source/papayabend/settings/Settings.cpp
@@ -138,11 +138,16 @@
     keys.number("maxAnswerBytes", tickets.maxAnswerBytes, 65'536, uint64_t { 64 } << 30U);
 }
 
-static void visit(auto& keys, StopSettings& stop)
+static void visit(auto& keys, entry::EntrySettings& answers)
 {
-    keys.milliseconds("withdrawMs", stop.withdraw, 0, 10 * minute);
+    keys.milliseconds("timeToLiveMs", answers.timeToLive, 100, 10 * minute);
+    keys.number("hosts", answers.hosts, 1, 100);
+}
+
+static void visit(auto& keys, engine::StopSettings& stop)
+{
+    keys.milliseconds("announcementMs", stop.announcement, 0, 10 * minute);
     keys.milliseconds("drainMs", stop.drain, 0, 60 * minute);
-    keys.milliseconds("handOverMs", stop.handOver, 0, 10 * minute);
 }
 
 static void visit(auto& keys, LogSettings& log) { keys.choice("level", log.level, logLevels); }
@@ -162,7 +167,8 @@
     keys.section("admission", settings.engine.admission);
     keys.section("quotas", settings.engine.quotas);
     keys.section("tickets", settings.engine.tickets);
-    keys.section("stop", settings.stop);
+    keys.section("entryAnswers", settings.engine.entry);
+    keys.section("stop", settings.engine.stop);
     keys.section("log", settings.log);
 }
 
--- a/Source/papayabend/settings/Settings.h
+++ b/Source/papayabend/settings/Settings.h
@@ -58,15 +58,6 @@
     base::Duration maxReconnectDelay { std::chrono::seconds(5) };
 };
 
-/** \struct StopSettings
- * \brief Phases of a planned stop.
- */
-struct StopSettings {
-    base::Duration withdraw { std::chrono::seconds(5) }; /**< At least the time to live of an entry answer. */
-    base::Duration drain { std::chrono::seconds(30) };
-    base::Duration handOver { std::chrono::seconds(5) };
-};
-
 struct LogSettings {
     std::string level { "info" };
 };
@@ -81,8 +72,7 @@
     EntrySettings operators { .threads = 2, .queuedRequests = 64, .connections = 64, .bodyBytes = 1024 };
     UpstreamSettings upstreams;
     routing::RoutingSettings routing; /**< Sections routing, hedging, retries, quarantine and recovery. */
-    engine::EngineSettings engine; /**< Sections admission, quotas and tickets. */
-    StopSettings stop;
+    engine::EngineSettings engine; /**< Sections admission, quotas, tickets, entryAnswers and stop. */
     LogSettings log;
 };
 
--- a/Source/papayabend/transport/HttpOperator.cpp
+++ b/Source/papayabend/transport/HttpOperator.cpp
@@ -46,6 +46,10 @@
     get("/v1/status", jsonType, [this] { return status(); });
     get("/v1/table", jsonType, [this] { return table(); });
     get("/v1/upstreams", jsonType, [this] { return upstreams(); });
+    get("/v1/report", jsonType, [this] { return report::renderJson(m_engine.report(base::BootClock::now())); });
+    get("/v1/report.html", "text/html", [this] { return report::renderHtml(m_engine.report(base::BootClock::now())); });
+    get("/v1/report.txt", "text/plain",
+        [this] { return report::renderTerminal(m_engine.report(base::BootClock::now())); });
     get("/metrics", "text/plain; version=0.0.4", [this] { return m_metrics.text(gauges()); });
     get("/healthz", "text/plain", [] { return std::string("ok\n"); });
     m_server.routes().Get("/readyz", [this](const httplib::Request&, httplib::Response& response) {
@@ -67,7 +71,8 @@
     const auto& host = m_settings.host;
     return dump({ { "host", host.name }, { "failureDomain", host.failureDomain }, { "region", host.region },
         { "callerAddress", host.callerAddress }, { "peerAddress", host.peerAddress }, { "serving", reason.empty() },
-        { "reason", reason }, { "uptimeSeconds", seconds(base::BootClock::now() - m_started) },
+        { "reason", reason }, { "stage", membership::toString(m_engine.stage()) },
+        { "uptimeSeconds", seconds(base::BootClock::now() - m_started) },
         { "incarnation", m_engine.identity().incarnation }, { "tableVersion", m_engine.table()->version },
         { "catalogVersion", m_engine.catalog()->version }, { "openRequests", m_shell.openRequests() },
         { "waitingRequests", m_entry.server().waitingRequests() },
--- a/Tests/processes/ProcessTest.py
+++ b/Tests/processes/ProcessTest.py
@@ -178,7 +178,9 @@
     parser.add_argument("case", choices=[case.__name__ for case in CASES])
     arguments = parser.parse_args()
     case = next(it for it in CASES if it.__name__ == arguments.case)
-    with Fleet(arguments.build, upstreams={"serviceTimeMs": 2, "restartMs": 500}) as fleet:
+    # Short phases of the planned stop keep the cases short.
+    settings = {"stop": {"announcementMs": 500}, "entryAnswers": {"timeToLiveMs": 500}}
+    with Fleet(arguments.build, upstreams={"serviceTimeMs": 2, "restartMs": 500}, settings=settings) as fleet:
         case(fleet)
 
 
