--- a/Source/papayabend/transport/HttpServer.cpp
+++ b/Source/papayabend/transport/HttpServer.cpp
@@ -361,6 +361,9 @@
 {
     auto& routes = m_impl->routes;
     routes.set_payload_max_length(settings.bodyBytes);
+    // Only named in the Keep-Alive header; this class ends idle connections itself.
+    routes.set_keep_alive_timeout(std::chrono::floor<std::chrono::seconds>(settings.idleTimeout).count());
+    routes.set_keep_alive_max_count(100'000);
     routes.set_error_handler([](const httplib::Request&, httplib::Response& response) {
         if (!response.body.empty())
             return;
--- a/Tests/processes/ProcessTest.py
+++ b/Tests/processes/ProcessTest.py
@@ -110,6 +110,11 @@
     failures, answered = [], [0]
     stopping = threading.Event()
 
+    def check_target(location):
+        targets = ["http://%s/v1/search" % it.caller for it in fleet.hosts if it is not host]
+        if location not in targets:
+            failures.append("redirected to " + str(location))
+
     def caller(n):
         count = 0
         while not stopping.is_set() or count < 1:
@@ -120,7 +125,9 @@
                 continue
             # A caller turns to another host after a redirect, a refusal as not run or a refused connection.
             refused = status == 0 and "refused" in answer
-            if not refused and not (isinstance(answer, dict) and answer.get("verdict") == "not_run"):
+            if status == 307:
+                check_target(answer)
+            elif not refused and not (isinstance(answer, dict) and answer.get("verdict") == "not_run"):
                 failures.append((status, answer))
             if other.search("tailor", "fitting-desk", "caller %d %d" % (n, count))[0] != 200:
                 failures.append("the other host did not answer")
--- a/Utilities/fleet.py
+++ b/Utilities/fleet.py
@@ -41,7 +41,7 @@
 
 
 def call(address, path, body=None, timeout=30):
-    """Returns status and body (parsed if JSON); status 0 if the address does not answer."""
+    """Returns status and body (parsed if JSON), with a redirect its target; status 0 without an answer."""
     data = None if body is None else (body if isinstance(body, bytes) else json.dumps(body).encode())
     request = urllib.request.Request("http://%s%s" % (address, path), data=data)
     try:
@@ -49,6 +49,8 @@
             status, text = response.status, response.read()
     except urllib.error.HTTPError as error:
         status, text = error.code, error.read()
+        if status == 307:
+            return status, error.headers["Location"]
     except (OSError, ValueError) as error:
         return 0, str(error)
     try:
