--- a/Source/replay/Scenario.h
+++ b/Source/replay/Scenario.h
@@ -75,5 +75,7 @@
 Figures measureExecutions(const MeasureOptions&);
 Figures measureShares(const MeasureOptions&);
 Figures measureLimits(const MeasureOptions&);
+Figures measureSearchFaults(const MeasureOptions&);
+Figures measureExecutionFaults(const MeasureOptions&);
 
 }
