--- a/Source/papayabend/table/CompareTables.cpp
+++ b/Source/papayabend/table/CompareTables.cpp
@@ -65,19 +65,18 @@
                 accounts.push_back(row.account);
         }
         std::ranges::sort(accounts);
-        accounts.erase(std::ranges::unique(accounts).begin(), accounts.end());
+        accounts.erase(std::unique(accounts.begin(), accounts.end()), accounts.end());
         return accounts;
     }
 
-    void addPresence(
-        std::vector<std::string>& lines, const std::string& what, bool isInBefore, bool isInAfter)
+    void addPresence(std::vector<std::string>& lines, const std::string& what, bool isInBefore, bool isInAfter)
     {
         if (isInBefore != isInAfter)
             lines.push_back(what + (isInAfter ? ": added" : ": removed"));
     }
 
-    void addChange(std::vector<std::string>& lines, const std::string& what, const std::string& before,
-        const std::string& after)
+    void addChange(
+        std::vector<std::string>& lines, const std::string& what, const std::string& before, const std::string& after)
     {
         if (before != after)
             lines.push_back(what + ": " + before + " -> " + after);
@@ -99,11 +98,12 @@
             format(findObjective(after, service)));
     }
     for (const auto& account : accountsOf(before, after)) {
-        addPresence(lines, "account " + account, findRow(before, account) != nullptr,
-            findRow(after, account) != nullptr);
+        auto label = "account " + account;
+        addPresence(lines, label, findRow(before, account) != nullptr, findRow(after, account) != nullptr);
+        label += ", service ";
         for (const auto& service : services)
-            addChange(lines, "account " + account + ", service " + service,
-                format(findGrant(before, account, service)), format(findGrant(after, account, service)));
+            addChange(lines, label + service, format(findGrant(before, account, service)),
+                format(findGrant(after, account, service)));
     }
     return lines;
 }
--- a/Source/replay/ControlScenarios.cpp
+++ b/Source/replay/ControlScenarios.cpp
@@ -253,9 +253,8 @@
             ++figures.violations;
             figures.violationTexts.push_back("the delta of " + key + " was not applied");
         }
-        figures.rows.push_back({ key, std::to_string(text.size()), formatNumber(memory, 1),
-            formatNumber(changeTime, 1), std::to_string(message->deltas[0].text.size()),
-            formatNumber(applyTime, 1) });
+        figures.rows.push_back({ key, std::to_string(text.size()), formatNumber(memory, 1), formatNumber(changeTime, 1),
+            std::to_string(message->deltas[0].text.size()), formatNumber(applyTime, 1) });
     }
     return figures;
 }
--- a/Tests/table/CompareTablesTest.cpp
+++ b/Tests/table/CompareTablesTest.cpp
@@ -4,20 +4,18 @@
 
 using namespace papayabend;
 
-TEST_GROUP(CompareTables)
-{
-    std::string compare(const std::string& before, const std::string& after)
-    {
-        base::LastReason reason;
-        auto first = table::parseTable("version,1\naccount,s,t\n" + before, reason);
-        auto second = table::parseTable("version,2\naccount,s,t\n" + after, reason);
-        CHECK(first && second);
-        std::string text;
-        for (const auto& line : table::compareTables(*first, *second))
-            text += line + "\n";
-        return text;
-    }
-};
+TEST_GROUP(CompareTables) {
+    std::string compare(const std::string& before, const std::string& after) { base::LastReason reason;
+auto first = table::parseTable("version,1\naccount,s,t\n" + before, reason);
+auto second = table::parseTable("version,2\naccount,s,t\n" + after, reason);
+CHECK(first&& second);
+std::string text;
+for (const auto& line : table::compareTables(*first, *second))
+    text += line + "\n";
+return text;
+}
+}
+;
 
 // Guards against an operator who approves an edit without seeing all of its effect.
 TEST(CompareTables, EachDifferenceIsOneLine)
@@ -37,6 +35,6 @@
 // Guards against differences being reported where only order and spelling of the cells changed.
 TEST(CompareTables, SpellingIsNoDifference)
 {
-    STRCMP_EQUAL("version: 1 -> 2\n",
-        compare("a,weight=1.0,-\nb,-,-\n", "b,-,-\na,priority=interactive weight=1,-\n").c_str());
+    STRCMP_EQUAL(
+        "version: 1 -> 2\n", compare("a,weight=1.0,-\nb,-,-\n", "b,-,-\na,priority=interactive weight=1,-\n").c_str());
 }
