--- a/Source/replay/Scenario.cpp
+++ b/Source/replay/Scenario.cpp
@@ -1,5 +1,7 @@
 #include "replay/Scenario.h"
 
+#include "replay/ScriptedQueries.h"
+
 #include <atomic>
 #include <cstdio>
 #include <mutex>
@@ -27,6 +29,8 @@
         { "limits", "requests passed for an account with a limit, several hosts", measureLimits },
         { "search-faults", "mixed snapshots, overstated coverage, wrong callers with faults", measureSearchFaults },
         { "execution-faults", "duplicates, losses and unknown outcomes with faults", measureExecutionFaults },
+        { "scripted-queries", "searches with faults at any moment, together and twice; every answer is checked",
+            measureScriptedQueries },
     };
     return all;
 }
