--- a/Source/papayabend/table/CompareTables.cpp
+++ b/Source/papayabend/table/CompareTables.cpp
@@ -65,7 +65,7 @@
                 accounts.push_back(row.account);
         }
         std::ranges::sort(accounts);
-        accounts.erase(std::ranges::unique(accounts).begin(), accounts.end());
+        accounts.erase(std::unique(accounts.begin(), accounts.end()), accounts.end());
         return accounts;
     }
 
@@ -98,10 +98,11 @@
             format(findObjective(after, service)));
     }
     for (const auto& account : accountsOf(before, after)) {
-        addPresence(
-            lines, "account " + account, findRow(before, account) != nullptr, findRow(after, account) != nullptr);
+        auto label = "account " + account;
+        addPresence(lines, label, findRow(before, account) != nullptr, findRow(after, account) != nullptr);
+        label += ", service ";
         for (const auto& service : services)
-            addChange(lines, "account " + account + ", service " + service, format(findGrant(before, account, service)),
+            addChange(lines, label + service, format(findGrant(before, account, service)),
                 format(findGrant(after, account, service)));
     }
     return lines;
