replay: Let a stale configuration service return older values

Cause: the fake never answered with a lower version than the reader has, so G8TableInForce passed with a host that takes older tables. Change: a read is answered when the version differs from the reader's. Expected output is unchanged.

--- a/Source/replay/Platform.cpp
+++ b/Source/replay/Platform.cpp
@@ -96,7 +96,8 @@
             return;
         }
         const auto* value = visibleValue(platform, read.key);
-        if (!value || (read.key != "hosts" && value->version <= read.after)) {
+        // A service that lost its newest values returns the older ones that it has.
+        if (!value || (read.key != "hosts" && value->version == read.after)) {
             read.isWaiting = true;
             return;
         }
