--- a/Source/papayabend/engine/Engine.h
+++ b/Source/papayabend/engine/Engine.h
@@ -1,18 +1,39 @@
 #pragma once
 
 #include "papayabend/engine/Action.h"
+#include "papayabend/engine/AdmissionPath.h"
 #include "papayabend/engine/ControlPath.h"
+#include "papayabend/engine/EntryPath.h"
+#include "papayabend/engine/ExecutionPath.h"
+#include "papayabend/engine/QuarantineExchange.h"
+#include "papayabend/engine/ReportPath.h"
 #include "papayabend/engine/SearchPath.h"
 #include "papayabend/engine/SharedState.h"
 
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace papayabend::engine {
 
+/** \struct EngineSettings
+ * \brief Settings that are fixed when the process starts.
+ */
+struct EngineSettings {
+    admission::AdmissionSettings admission;
+    admission::QuotaSettings quotas;
+    execution::TicketSettings tickets;
+    entry::EntrySettings entry;
+    StopSettings stop;
+};
+
+/** A ticket with the time for which it can be used, or the reason for which none was issued. */
+using TicketReply = std::variant<execution::IssuedTicket, base::Refusal>;
+
 /** \class Engine
  * \brief Decisions of one host: takes events with the present time and returns the actions to perform.
  *
@@ -22,24 +43,20 @@
 class Engine {
 public:
     /** \a seed makes all random choices repeatable. */
-    explicit Engine(uint64_t seed, membership::HostIdentity identity = {});
+    explicit Engine(uint64_t seed, membership::HostIdentity identity = {}, const EngineSettings& settings = {});
 
     /** Replaces the routing settings; called before the first request. */
     void configureRouting(routing::RoutingSettings);
 
-    /** Sets the number of hosts that share the connections of an upstream. */
-    void setServingHosts(uint32_t count) { m_shared.upstreams.setServingHosts(count); }
-
-    /** Takes a notice of another host. */
-    void quarantineNotice(const routing::QuarantineNotice&, base::TimePoint now);
-
-    /** Returns the notices to send to all other hosts of the serving set, and forgets them. */
-    std::vector<routing::QuarantineNotice> takeQuarantineNotices();
-
     /** Returns a new request number. */
     routing::RequestId nextRequest();
 
     Actions submitSearch(query::SearchRequest, base::TimePoint now);
+    TicketReply issueTicket(std::string_view account, std::string_view service, base::TimePoint now);
+    /** Starts a non-idempotent request, or answers the question for the outcome of one. */
+    Actions submitExecution(execution::ExecutionRequest, base::TimePoint now);
+    /** Takes the reply to ForwardExecution. If the host could not be asked, it is a refusal with OutcomeUnknown. */
+    Actions forwardFinished(routing::RequestId, execution::ForwardReply, base::TimePoint now);
     Actions attemptFinished(const routing::AttemptResult&, base::TimePoint now);
     Actions timerExpired(routing::RequestId, base::TimePoint now);
 
@@ -50,6 +67,11 @@
     /** Reports that a read ended; called after the value, if there is one, has been passed on. */
     Actions platformReadEnded(std::string_view key, ReadStatus, base::TimePoint now);
     Actions peerMessage(const PeerMessage&, base::TimePoint now);
+    /** Starts a planned stop: withdraw, drain, hand over, stop. tick() leads it on; stage() tells its end. */
+    Actions beginStop(base::TimePoint now);
+    membership::Lifecycle stage() const { return m_entry.stage(); }
+    /** Hosts that callers should use, and the address of another host for a caller that should not use this one. */
+    EntryPath& entry() { return m_entry; }
     /** Called every 100 ms. */
     Actions tick(base::TimePoint now);
 
@@ -59,11 +81,25 @@
     std::shared_ptr<const table::Table> table() const { return m_shared.table.load(); }
     std::shared_ptr<const membership::HostView> hostView() const { return m_shared.hostView.load(); }
     const membership::HostIdentity& identity() const { return m_shared.identity; }
+    /** Returns the service-level burn of the requests that callers sent to this host. */
+    report::Report report(base::TimePoint now);
+    admission::Admission& admission() { return m_admission.admission(); }
+    const execution::TicketBook& tickets() const { return m_executions.book(); }
 
 private:
+    Actions performSearch(Actions, base::TimePoint now);
+    Actions perform(ExecutionStep, base::TimePoint now);
+    Actions perform(PassedRequests, base::TimePoint now);
+    Actions endedRequests(std::span<const routing::RequestId>, base::TimePoint now);
+
     SharedState m_shared;
     SearchPath m_searches;
+    ExecutionPath m_executions;
+    AdmissionPath m_admission;
+    EntryPath m_entry;
     ControlPath m_control;
+    QuarantineExchange m_quarantine;
+    ReportPath m_report;
     std::atomic<routing::RequestId> m_lastRequest { 0 };
 };
 
--- a/Source/papayabend/engine/SearchPath.cpp
+++ b/Source/papayabend/engine/SearchPath.cpp
@@ -31,7 +31,7 @@
     for (auto attempt : step.cancel)
         actions.emplace_back(CancelAttempt { attempt });
     for (const auto& notice : step.notices)
-        m_shared.quarantineNotices.push(notice);
+        m_shared.quarantineNotices.push({ accessor->second->search.request.service, notice });
     waitFor(step.waitFor, id);
     for (auto& attempt : step.send)
         actions.emplace_back(SendAttempt { std::move(attempt) });
@@ -132,9 +132,7 @@
     running->lastAttempt = id << attemptCounterBits;
     auto catalog = m_shared.catalog.load();
     m_shared.upstreams.catalogSeen(*catalog, now);
-    Actions actions;
-    for (auto& probe : routing::dueProbes(m_shared.upstreams, *catalog, id, m_lastProbe, now))
-        actions.emplace_back(SendAttempt { std::move(probe) });
+    auto actions = probe(id, now);
     const auto& service = running->search.request.service;
     Searches::accessor accessor;
     m_searches.insert(accessor, { id, running });
@@ -164,6 +162,14 @@
     return actions;
 }
 
+Actions SearchPath::probe(routing::RequestId id, base::TimePoint now)
+{
+    Actions actions;
+    for (auto& probe : routing::dueProbes(m_shared.upstreams, *m_shared.catalog.load(), id, m_lastProbe, now))
+        actions.emplace_back(SendAttempt { std::move(probe) });
+    return actions;
+}
+
 Actions SearchPath::timerExpired(routing::RequestId id, base::TimePoint now)
 {
     Actions actions;
--- a/Source/papayabend/transport/PeerCodec.cpp
+++ b/Source/papayabend/transport/PeerCodec.cpp
@@ -58,6 +58,15 @@
         }
     }
 
+    base::RefusalCode refusalCodeOf(std::string_view name)
+    {
+        for (auto n = 0U; n <= static_cast<unsigned>(base::RefusalCode::Internal); ++n) {
+            if (base::toString(static_cast<base::RefusalCode>(n)) == name)
+                return static_cast<base::RefusalCode>(n);
+        }
+        return base::RefusalCode::OutcomeUnknown;
+    }
+
     void encode(const HostObservation& it, protocol::HostObservation& wire)
     {
         wire.set_name(it.name);
@@ -122,11 +131,13 @@
         wire.set_arrivals_per_second(it.arrivalsPerSecond);
         wire.set_served_per_second(it.servedPerSecond);
         wire.set_backlog(it.backlog);
+        wire.set_service_time_us(it.serviceTimeUs);
     }
 
     DemandReport decode(const protocol::DemandReport& wire)
     {
-        return { wire.account(), wire.service(), wire.arrivals_per_second(), wire.served_per_second(), wire.backlog() };
+        return { wire.account(), wire.service(), wire.arrivals_per_second(), wire.served_per_second(), wire.backlog(),
+            wire.service_time_us() };
     }
 
     void encode(const QuotaLease& it, protocol::QuotaLease& wire)
@@ -138,12 +149,13 @@
         wire.set_service(it.service);
         wire.set_requests_per_second(it.requestsPerSecond);
         wire.set_validity_us(it.validityUs);
+        wire.set_basis(it.basis);
     }
 
     QuotaLease decode(const protocol::QuotaLease& wire)
     {
         return { wire.id(), wire.lender(), wire.borrower(), wire.account(), wire.service(), wire.requests_per_second(),
-            wire.validity_us() };
+            wire.validity_us(), wire.basis() };
     }
 
     void encode(const QuarantineNotice& it, protocol::QuarantineNotice& wire)
@@ -152,11 +164,14 @@
         wire.set_crashes(it.crashes);
         wire.set_quarantined(it.isQuarantined);
         wire.set_validity_us(it.validityUs);
+        wire.set_lost_upstream(it.lostUpstream);
+        wire.set_shard(it.shard);
     }
 
     QuarantineNotice decode(const protocol::QuarantineNotice& wire)
     {
-        return { wire.fingerprint(), wire.crashes(), wire.quarantined(), wire.validity_us() };
+        return { wire.fingerprint(), wire.crashes(), wire.quarantined(), wire.validity_us(), wire.lost_upstream(),
+            wire.shard() };
     }
 
     void encode(const TicketRecord& it, protocol::TicketRecord& wire)
@@ -169,12 +184,15 @@
         wire.set_state(static_cast<protocol::TicketState>(it.state));
         wire.set_verdict(toWire(it.verdict));
         wire.set_body(it.body);
+        wire.set_fingerprint(it.fingerprint);
+        wire.set_code(std::string(base::toString(it.code)));
     }
 
     TicketRecord decode(const protocol::TicketRecord& wire)
     {
         return { { wire.host(), wire.incarnation(), wire.sequence() }, wire.account(), wire.service(),
-            ticketStateOf(wire.state()), verdictOf(wire.verdict()), wire.body() };
+            ticketStateOf(wire.state()), verdictOf(wire.verdict()), wire.body(), wire.fingerprint(),
+            refusalCodeOf(wire.code()) };
     }
 
     template <typename Items, typename Wire> void encodeAll(const Items& items, Wire* wire)
@@ -204,6 +222,10 @@
     encodeAll(message.leases, envelope.mutable_leases());
     encodeAll(message.quarantine, envelope.mutable_quarantine());
     encodeAll(message.ticketRecords, envelope.mutable_ticket_records());
+    envelope.set_demand_sequence(message.demandSequence);
+    envelope.set_counts_receiver(message.countsReceiver);
+    envelope.set_hand_over(message.handOver);
+    envelope.set_hand_over_ack(message.handOverAck);
     return envelope;
 }
 
@@ -221,6 +243,10 @@
     decodeAll(envelope.leases(), message.leases);
     decodeAll(envelope.quarantine(), message.quarantine);
     decodeAll(envelope.ticket_records(), message.ticketRecords);
+    message.demandSequence = envelope.demand_sequence();
+    message.countsReceiver = envelope.counts_receiver();
+    message.handOver = envelope.hand_over();
+    message.handOverAck = envelope.hand_over_ack();
     return message;
 }
 
--- a/Source/papayabend/transport/Shell.h
+++ b/Source/papayabend/transport/Shell.h
@@ -15,7 +15,7 @@
 namespace papayabend::transport {
 
 /** Answer to a caller: one alternative for each kind of reply. */
-using Reply = std::variant<query::SearchAnswer, base::Refusal>;
+using Reply = std::variant<query::SearchAnswer, execution::ExecutionAnswer, execution::OutcomeAnswer, base::Refusal>;
 
 /** \class Shell
  * \brief Performs the engine's actions with sockets and timers and feeds the results back as events.
@@ -34,18 +34,24 @@
 
     /** Starts a search; \a handler is called once, on any thread. */
     void search(query::SearchRequest, ReplyHandler handler);
+    /** Starts a non-idempotent request; \a handler is called once, on any thread. */
+    void execute(execution::ExecutionRequest, ReplyHandler handler);
     void perform(engine::Actions);
 
 private:
     void perform(engine::SendAttempt&);
     void perform(engine::CancelAttempt&);
     void perform(engine::ReplySearch&);
+    void perform(engine::ReplyExecution&);
+    void perform(engine::ReplyOutcome&);
+    void perform(engine::ForwardExecution&);
     void perform(engine::ReplyRefusal&);
     void perform(engine::SetTimer&);
     void perform(engine::SendPeerMessage&);
     void perform(engine::ReadPlatform&);
     void perform(engine::StateChange&);
     void reply(routing::RequestId, Reply);
+    void forwarded(execution::ExecutionRequest, std::function<void(execution::ForwardReply)> done);
     void readEnded(const std::string& key, engine::ReadStatus, const std::string& text);
     void tick();
 
--- a/Source/replay/Policies.cpp
+++ b/Source/replay/Policies.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
-    Policy policyOf(std::string name, const routing::RoutingSettings& settings)
+    using routing::RoutingSettings;
+
+    Policy policyOf(std::string name, const RoutingSettings& settings, bool hasAdmission = true)
     {
-        auto makeEngine = [settings](const World& world, const Host& host) {
-            auto engine = std::make_unique<engine::Engine>(world.seed * 1'000'003 + host.index);
+        auto makeEngine = [settings, hasAdmission](const World& world, const Host& host) {
+            engine::EngineSettings engineSettings;
+            engineSettings.admission.enabled = hasAdmission;
+            auto engine = std::make_unique<engine::Engine>(
+                world.seed * 1'000'003 + host.index, identityOf(world, host), engineSettings);
             auto own = settings;
             own.ownFailureDomain = world.domains[host.domain];
             own.servingHosts = static_cast<uint32_t>(world.hosts.size());
@@ -21,7 +26,7 @@
 
     Policy changed(std::string name, auto change)
     {
-        routing::RoutingSettings settings;
+        RoutingSettings settings;
         change(settings);
         return policyOf(std::move(name), settings);
     }
@@ -31,8 +36,8 @@
 std::vector<Policy> policies()
 {
     using routing::CanaryMode;
-    using routing::RoutingSettings;
-    return { policyOf("baseline", routing::plainBaseline()), policyOf("default", {}),
+    return { policyOf("baseline", routing::plainBaseline(), false), policyOf("default", {}),
+        policyOf("no-admission", {}, false),
         changed("no-canary", [](RoutingSettings& it) { it.crashes.canary = CanaryMode::Off; }),
         changed("no-hedge", [](RoutingSettings& it) { it.hedging.enabled = false; }),
         changed("least-in-flight", [](RoutingSettings& it) { it.policy = routing::Policy::LeastInFlight; }),
--- a/Source/replay/Scenario.cpp
+++ b/Source/replay/Scenario.cpp
@@ -17,6 +17,18 @@
         { "goodput", "complete answers in time at 0.5, 1, 2 and 3 times capacity", measureGoodput },
         { "scripted-queries", "searches with faults at any moment, together and twice; every answer is checked",
             measureScriptedQueries },
+        { "control-cost", "control traffic and processor time of a host against fleet size", measureControlCost },
+        { "control-spread", "time until a table change is in force on all hosts", measureControlSpread },
+        { "control-restart", "platform reads and recovery when all hosts or one host start empty",
+            measureControlRestart },
+        { "control-outage", "platform reads after an outage of the platform and a healed partition",
+            measureControlOutage },
+        { "executions", "non-idempotent requests at several hosts under faults, alone and together",
+            measureExecutions },
+        { "shares", "requests passed for each account over its grant, several hosts", measureShares },
+        { "limits", "requests passed for an account with a limit, several hosts", measureLimits },
+        { "search-faults", "mixed snapshots, overstated coverage, wrong callers with faults", measureSearchFaults },
+        { "execution-faults", "duplicates, losses and unknown outcomes with faults", measureExecutionFaults },
     };
     return all;
 }
--- a/Source/replay/World.h
+++ b/Source/replay/World.h
@@ -41,12 +41,23 @@
 
 enum class RequestOutcome : uint8_t { Open, Answered, Refused, Reset };
 
+/** \enum RequestKind
+ * \brief What the caller does.
+ */
+enum class RequestKind : uint8_t {
+    Search,
+    Execute, /**< Obtains a ticket first, unless it resends an earlier request's. */
+    QueryOutcome, /**< Asks for the outcome of an earlier request's ticket. */
+};
+
 /** \struct Request
  * \brief A caller's request and what happened to it. The first group is filled by the case.
  */
 struct Request {
     std::string account;
     std::string service;
+    RequestKind kind { RequestKind::Search };
+    std::optional<uint32_t> ticketOf; /**< Number of the earlier request whose ticket is used. */
     std::string body; /**< Must differ between requests; a body that starts with "crash" crashes its upstream. */
     uint32_t host { 0 };
     uint32_t maxHits { 10 };
@@ -56,6 +67,7 @@
 
     uint32_t number { 0 }; /**< Index in World::requests. */
     routing::RequestId id { 0 };
+    std::string ticket;
     uint64_t hostIncarnation { 0 };
     TimePoint receivedAt {};
     TimePoint finishedAt {}; /**< At the caller. */
@@ -86,6 +98,20 @@
     bool isRunning { false };
 };
 
+/** \struct Forward
+ * \brief An execution that one host passed to another.
+ */
+struct Forward {
+    uint32_t origin { 0 };
+    uint64_t originIncarnation { 0 };
+    routing::RequestId originId { 0 };
+    uint32_t target { 0 };
+    uint32_t request { 0 };
+    execution::ExecutionRequest execution;
+    execution::ForwardReply reply;
+    bool isEnded { false };
+};
+
 /** \struct Host
  * \brief A host that runs the real engine. A paused host receives its events when it resumes.
  */
@@ -93,12 +119,15 @@
     std::string name;
     uint32_t index { 0 };
     uint32_t domain { 0 };
+    std::string callerAddress;
+    std::string peerAddress;
     uint64_t incarnation { 0 };
     std::unique_ptr<engine::Engine> engine; /**< Null while the host is down. */
     bool isPaused { false };
     std::vector<Event> held;
     std::vector<TimePoint> connections; /**< By upstream: time at which it is usable; the maximum if closed. */
-    std::unordered_map<routing::RequestId, uint32_t> requests;
+    std::unordered_map<routing::RequestId, uint32_t> requests; /**< Executions stay after their reply. */
+    std::unordered_map<routing::RequestId, uint32_t> forwards; /**< Open forwards that this host received. */
     std::unordered_map<routing::AttemptId, uint32_t> calls;
 };
 
@@ -106,12 +135,14 @@
  * \brief A read or watch of the configuration service.
  */
 struct PlatformRead {
+    uint64_t generation { 1 }; /**< Counts the uses of the slot; events of former uses are dropped. */
     uint32_t host { 0 };
     uint64_t hostIncarnation { 0 };
     std::string key;
     uint64_t after { 0 };
     bool isWaiting { false };
-    std::optional<std::string> answer;
+    engine::ReadStatus status { engine::ReadStatus::Failed };
+    std::string answer;
 };
 
 /** \struct Platform
@@ -127,9 +158,12 @@
     bool isDown { false };
     bool isStale { false };
     Duration delay { 2'000 }; /**< From a read to its answer. */
-    Duration retryDelay { 500'000 }; /**< Host's delay after a failed read. */
+    Duration hostListLag { std::chrono::seconds(2) }; /**< Until a started or dead host changes the host list. */
     uint64_t reads { 0 };
     std::vector<PlatformRead> slots;
+    std::vector<uint32_t> freeSlots;
+    std::set<uint32_t> listedHosts;
+    uint64_t hostListVersion { 0 };
 };
 
 /** \struct TrueShard
@@ -159,6 +193,7 @@
     Duration remoteDelay { 5'000 }; /**< One way, between failure domains. */
     Duration callerDelay { 1'000 };
     Duration tickPeriod { 100'000 };
+    double peerLoss { 0 }; /**< Share of peer messages that are lost. */
     uint32_t hitsPerShard { 1 };
     Duration crashRestartTime { 0 }; /**< Time after which a crashed upstream restarts; 0: it stays down. */
 
@@ -185,15 +220,24 @@
     std::optional<Request> nextArrival;
     std::map<std::string, std::map<uint64_t, TrueSnapshot>, std::less<>> truth; /**< By service and snapshot. */
     std::unordered_map<std::string, uint32_t> upstreamsByAddress;
+    std::unordered_map<std::string, uint32_t> hostsByPeerAddress;
+    std::vector<engine::PeerMessage> peerMessages;
+    std::vector<uint32_t> freePeerMessages;
+    base::Random lossRandom { 1 };
+    std::vector<Forward> forwards;
     std::unordered_map<std::string, uint32_t> executions; /**< Starts of each execution body. */
+    std::set<std::string> executionsNotRun; /**< Bodies that a caller was told have not run and will not run. */
 
     uint64_t eventsHandled { 0 };
     uint64_t callsSent { 0 };
+    uint64_t peerMessagesSent { 0 };
     uint64_t unhandledActions { 0 };
     uint64_t violations { 0 };
     std::vector<std::string> violationTexts; /**< The first ones. */
 };
 
+/** Returns what a process of the host knows from its settings. */
+membership::HostIdentity identityOf(const World&, const Host&);
 /** Adds a host that is started by run() or startHost(). Returns its index. */
 uint32_t addHost(World&, std::string name, std::string_view domain);
 /** Returns the index of a failure domain and adds it if it is new. */
@@ -205,7 +249,8 @@
 void pauseHost(World&, uint32_t host);
 void resumeHost(World&, uint32_t host);
 
-/** Publishes a value on the configuration service. A catalogue also creates the upstream fakes it lists. */
+/** Publishes a value on the configuration service under the version it contains, or the next one if it contains
+ * none. A catalogue also creates the upstream fakes it lists. */
 void publish(World&, std::string_view key, std::string_view text);
 /** Takes a service outage's beginning or end. */
 void setPlatformDown(World&, bool isDown);
