--- a/Source/replay/Scenario.cpp
+++ b/Source/replay/Scenario.cpp
@@ -15,6 +15,8 @@
         { "tail", "latency, coverage and extra attempts with stragglers, both deployments", measureTail },
         { "replica-loss", "complete answers with one replica of every shard lost", measureReplicaLoss },
         { "goodput", "complete answers in time at 0.5, 1, 2 and 3 times capacity", measureGoodput },
+        { "scripted-queries", "searches with faults at any moment, together and twice; every answer is checked",
+            measureScriptedQueries },
         { "control-cost", "control traffic and processor time of a host against fleet size", measureControlCost },
         { "control-spread", "time until a table change is in force on all hosts", measureControlSpread },
         { "control-restart", "platform reads and recovery when all hosts or one host start empty",
@@ -29,8 +31,6 @@
         { "limits", "requests passed for an account with a limit, several hosts", measureLimits },
         { "search-faults", "mixed snapshots, overstated coverage, wrong callers with faults", measureSearchFaults },
         { "execution-faults", "duplicates, losses and unknown outcomes with faults", measureExecutionFaults },
-        { "scripted-queries", "searches with faults at any moment, together and twice; every answer is checked",
-            measureScriptedQueries },
     };
     return all;
 }
--- a/Source/replay/ScriptedQueries.cpp
+++ b/Source/replay/ScriptedQueries.cpp
@@ -90,7 +90,7 @@
         auto n = static_cast<uint32_t>(script.index(script.world.hosts.size()));
         auto delay = script.upTo(std::chrono::milliseconds(1500));
         // The replay drops requests that a paused host has not read yet when the host dies, without a reset.
-        if (script.world.hosts[n].isPaused)
+        if (script.world.hosts[n].isPaused || !script.world.hosts[n].engine)
             return;
         if (isPause) {
             pauseHost(script.world, n);
