admission: Refuse waiting requests that cannot end in time

Cause: above capacity the queue let requests pass with only the service time of one call left before their deadline, while a whole search takes several times as long, so upstreams worked for answers that came too late. Ruled out: the gate of running searches, which alone holds goodput (policy no-admission). Change: the queue measures the time from admission to the end and refuses requests that had to wait and have less time left than its mean plus two deviations. Requests that need not wait pass as before.

--- a/Source/papayabend/admission/Admission.cpp
+++ b/Source/papayabend/admission/Admission.cpp
@@ -146,14 +146,15 @@
     return named(admission::submit(state->queue, m_settings, account, request, now, quotaOf(service, now)), service);
 }
 
-AdmissionStep Admission::release(std::string_view service, base::Duration serviceTime, base::TimePoint now)
+AdmissionStep Admission::release(
+    std::string_view service, base::Duration serviceTime, base::Duration runTime, base::TimePoint now)
 {
     auto state = find(service);
     if (!state)
         return {};
     std::scoped_lock lock(state->mutex);
     auto wasUnknown = state->queue.serviceTime == base::Duration::zero();
-    admission::release(state->queue, serviceTime);
+    admission::release(state->queue, serviceTime, runTime);
     if (wasUnknown)
         allocateService(*state);
     return named(admission::dispatch(state->queue, now, quotaOf(service, now)), service);
--- a/Source/papayabend/admission/Admission.h
+++ b/Source/papayabend/admission/Admission.h
@@ -45,8 +45,9 @@
     /** Admits, queues or refuses a request. A refused one has not run. */
     AdmissionStep submit(std::string_view account, std::string_view service, const QueuedRequest&, base::TimePoint now);
 
-    /** Takes back an admitted request that has ended. */
-    AdmissionStep release(std::string_view service, base::Duration serviceTime, base::TimePoint now);
+    /** Takes back an admitted request that has ended; \a runTime is the time since its admission. */
+    AdmissionStep release(
+        std::string_view service, base::Duration serviceTime, base::Duration runTime, base::TimePoint now);
 
     /** Removes a request from its queue; returns false if it is not queued. */
     bool remove(std::string_view account, std::string_view service, routing::RequestId);
--- a/Source/papayabend/admission/FairQueue.cpp
+++ b/Source/papayabend/admission/FairQueue.cpp
@@ -22,6 +22,10 @@
 
     constexpr double serviceTimeSmoothing = 0.05;
     constexpr double rateSmoothing = 0.5;
+    constexpr double runTimeSmoothing = 0.1;
+
+    // A run time above the mean by this many mean deviations is rare, as in the retransmission timeout of TCP.
+    constexpr int64_t runTimeDeviations = 2;
 
     RefusedRequest refuse(routing::RequestId id, RefusalCode code, std::string detail, base::Duration retryAfter = {})
     {
@@ -85,9 +89,19 @@
         return best;
     }
 
+    /**
+     * Returns whether a request would end too late. One that need not wait passes even with a short deadline, because
+     * there is capacity for it and a partial answer may be of use.
+     */
+    bool isLate(const FairQueue& service, const QueuedRequest& request, bool hasToWait, base::TimePoint start)
+    {
+        return request.deadline <= start + (hasToWait ? timeNeeded(service) : service.serviceTime);
+    }
+
     void dropLate(FairQueue& service, AccountQueue& queue, base::TimePoint now, AdmissionStep& step)
     {
-        while (!queue.waiting.empty() && queue.waiting.front().deadline <= now + service.serviceTime) {
+        while (!queue.waiting.empty()
+            && isLate(service, queue.waiting.front(), queue.waiting.front().arrived < now, now)) {
             step.refused.push_back(refuse(
                 queue.waiting.front().id, RefusalCode::DeadlineExceeded, "the request waited until its deadline"));
             queue.waiting.pop_front();
@@ -144,6 +158,7 @@
     ++queue.arrivals;
     refill(queue, now);
     auto wait = expectedWait(service, queue);
+    auto hasToWait = wait > base::Duration::zero() || !queue.waiting.empty() || service.inFlight >= service.window;
     if (now >= request.deadline) {
         step.refused.push_back(refuse(request.id, RefusalCode::DeadlineExceeded, "the deadline has passed"));
     } else if (queue.waiting.size() >= settings.queueLength) {
@@ -151,13 +166,13 @@
     } else if (queue.quotaBlockedUntil > request.deadline) {
         step.refused.push_back(refuse(request.id, RefusalCode::LimitReached,
             "the limit of the account allows no request before the deadline", queue.quotaBlockedUntil - now));
-    } else if (now + wait + service.serviceTime > request.deadline) {
+    } else if (isLate(service, request, hasToWait, now + wait)) {
         step.refused.push_back(
             refuse(request.id, RefusalCode::DeadlineTooShort, "the queue is longer than the remaining time", wait));
     } else {
         if (queue.waiting.empty())
             queue.virtualTime = std::max(queue.virtualTime, service.virtualNow);
-        queue.waiting.push_back(request);
+        queue.waiting.push_back({ request.id, request.deadline, now });
         return dispatch(service, now, takeQuota);
     }
     return step;
@@ -195,16 +210,30 @@
     return step;
 }
 
-void release(FairQueue& service, base::Duration serviceTime)
+base::Duration timeNeeded(const FairQueue& service)
+{
+    // Without a request in flight one is let through, so that an estimate from an overload is measured again.
+    if (service.inFlight == 0)
+        return service.serviceTime;
+    return std::max(service.serviceTime, service.runTime + runTimeDeviations * service.runDeviation);
+}
+
+void release(FairQueue& service, base::Duration serviceTime, base::Duration runTime)
 {
     if (service.inFlight > 0)
         --service.inFlight;
-    if (serviceTime <= base::Duration::zero())
-        return;
-    if (service.serviceTime == base::Duration::zero())
-        service.serviceTime = serviceTime;
-    auto change = static_cast<double>((serviceTime - service.serviceTime).count()) * serviceTimeSmoothing;
-    service.serviceTime += base::Duration(static_cast<int64_t>(std::round(change)));
+    auto smooth = [](base::Duration& mean, base::Duration value, double part) {
+        if (mean == base::Duration::zero())
+            mean = value;
+        mean += base::Duration(static_cast<int64_t>(std::round(static_cast<double>((value - mean).count()) * part)));
+    };
+    if (runTime > base::Duration::zero()) {
+        auto deviation = service.runTime == base::Duration::zero() ? runTime / 2 : abs(runTime - service.runTime);
+        smooth(service.runDeviation, deviation, runTimeSmoothing);
+        smooth(service.runTime, runTime, runTimeSmoothing);
+    }
+    if (serviceTime > base::Duration::zero())
+        smooth(service.serviceTime, serviceTime, serviceTimeSmoothing);
 }
 
 bool removeWaiting(FairQueue& service, std::string_view account, routing::RequestId id)
--- a/Source/papayabend/admission/FairQueue.h
+++ b/Source/papayabend/admission/FairQueue.h
@@ -41,6 +41,7 @@
 struct QueuedRequest {
     routing::RequestId id { 0 };
     base::TimePoint deadline {};
+    base::TimePoint arrived {}; /**< Set by submit(). */
 };
 
 /** \struct RefusedRequest
@@ -89,6 +90,8 @@
     uint32_t inFlight { 0 };
     uint32_t window { 1 }; /**< Requests that may be in flight from this host. */
     base::Duration serviceTime {}; /**< Mean of the upstreams' reports; zero: not measured. */
+    base::Duration runTime {}; /**< Mean time from admission to the end; zero: not measured. */
+    base::Duration runDeviation {}; /**< Mean deviation of the run time. */
     base::TimePoint measured {}; /**< Time of the last report. */
     double virtualNow { 0 };
     uint32_t interactiveInARow { 0 };
@@ -105,8 +108,14 @@
 /** Lets as many requests pass as window, rates and limits allow; drops those that would end too late. */
 AdmissionStep dispatch(FairQueue&, base::TimePoint now, const TakeQuota&);
 
-/** Takes back a request that was admitted, with the service time that the upstreams reported, or zero. */
-void release(FairQueue&, base::Duration serviceTime);
+/**
+ * Takes back a request that was admitted, with the service time that the upstreams reported, or zero, and the time
+ * since its admission, or zero.
+ */
+void release(FairQueue&, base::Duration serviceTime, base::Duration runTime = {});
+
+/** Returns the time that a request admitted now is expected to need, with a margin for slow ones. */
+base::Duration timeNeeded(const FairQueue&);
 
 /** Removes a request that waits; returns false if it does not. */
 bool removeWaiting(FairQueue&, std::string_view account, routing::RequestId);
--- a/Source/papayabend/cli/CheckCommands.cpp
+++ b/Source/papayabend/cli/CheckCommands.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/cli/Command.h"
 #include "papayabend/cli/HostClient.h"
+#include "papayabend/table/CompareTables.h"
 #include "papayabend/table/Table.h"
 #include "papayabend/transport/TableJson.h"
 
@@ -11,16 +12,22 @@
 
 namespace {
 
-    int printDifferences(const Json& checked, const std::string& host, bool asJson)
+    int printDifferences(const table::Table& checked, const std::string& host, bool asJson)
     {
         auto answer = getFrom(host, "/v1/table");
         if (!answer)
             return Unreachable;
         if (answer->status != 200)
             return reportRefusal(*answer);
-        auto lines = transport::tableDifferences(answer->json, checked);
-        auto inForce = answer->json.at("version").get<uint64_t>();
-        auto version = checked.at("version").get<uint64_t>();
+        base::LastReason reason;
+        auto before = transport::parseTableJson(answer->json, reason);
+        if (!before) {
+            std::cerr << "papayabend: " << reason.text << '\n';
+            return Unreachable;
+        }
+        auto lines = table::compareTables(*before, checked);
+        auto inForce = before->version;
+        auto version = checked.version;
         if (asJson) {
             std::cout << Json { { "versionInForce", inForce }, { "version", version }, { "differences", lines } }.dump(
                 2) << '\n';
@@ -50,11 +57,10 @@
             std::cerr << name << ": " << reason.text << '\n';
             return Refused;
         }
-        auto json = transport::toJson(*table);
         if (values.contains("diff"))
-            return printDifferences(json, values["diff"].as<std::string>(), values["json"].as<bool>());
+            return printDifferences(*table, values["diff"].as<std::string>(), values["json"].as<bool>());
         if (values["json"].as<bool>())
-            std::cout << json.dump(2) << '\n';
+            std::cout << transport::toJson(*table).dump(2) << '\n';
         else
             std::cout << name << ": version " << table->version << ", " << table->rows.size() << " client accounts, "
                       << table->services.size() << " services\n";
--- a/Source/papayabend/engine/AdmissionPath.cpp
+++ b/Source/papayabend/engine/AdmissionPath.cpp
@@ -64,7 +64,7 @@
 {
     auto id = request.id;
     auto deadline = request.deadline;
-    Pending pending { request.account, request.service, {}, false, {}, 0 };
+    Pending pending { .account = request.account, .service = request.service };
     pending.search = std::move(request);
     return submit(id, std::move(pending), deadline, now);
 }
@@ -72,7 +72,7 @@
 PassedRequests AdmissionPath::submitExecution(
     routing::RequestId id, std::string account, std::string service, base::TimePoint deadline, base::TimePoint now)
 {
-    return submit(id, { std::move(account), std::move(service), {}, false, {}, 0 }, deadline, now);
+    return submit(id, { .account = std::move(account), .service = std::move(service) }, deadline, now);
 }
 
 PassedRequests AdmissionPath::submit(
@@ -82,10 +82,10 @@
     auto service = pending.service;
     // Entered first, because another thread may admit the request as soon as it is queued.
     m_pending.insert({ id, std::move(pending) });
-    return convert(m_admission.submit(account, service, { id, deadline }, now));
+    return convert(m_admission.submit(account, service, { id, deadline }, now), now);
 }
 
-PassedRequests AdmissionPath::convert(admission::AdmissionStep&& step)
+PassedRequests AdmissionPath::convert(admission::AdmissionStep&& step, base::TimePoint now)
 {
     PassedRequests passed;
     for (auto id : step.admitted) {
@@ -94,6 +94,7 @@
             continue;
         auto& pending = accessor->second;
         pending.isAdmitted = true;
+        pending.admittedAt = now;
         if (pending.search)
             passed.searches.push_back(std::move(*std::exchange(pending.search, std::nullopt)));
         else
@@ -131,7 +132,7 @@
     if (!pending.isAdmitted && m_admission.remove(pending.account, pending.service, id))
         return {};
     auto mean = pending.answers > 0 ? pending.serviceTime / pending.answers : base::Duration::zero();
-    return convert(m_admission.release(pending.service, mean, now));
+    return convert(m_admission.release(pending.service, mean, now - pending.admittedAt, now), now);
 }
 
 void AdmissionPath::attemptFinished(const routing::AttemptResult& result)
@@ -155,7 +156,7 @@
             return {};
         service = m_timerServices[n];
     }
-    return convert(m_admission.dispatch(service, now));
+    return convert(m_admission.dispatch(service, now), now);
 }
 
 std::vector<admission::ServiceGrants> AdmissionPath::grants() const
@@ -186,7 +187,7 @@
         return {};
     m_table = std::move(table);
     m_catalog = std::move(catalog);
-    return convert(m_admission.setGrants(grants(), now));
+    return convert(m_admission.setGrants(grants(), now), now);
 }
 
 Actions AdmissionPath::exchange(base::TimePoint now)
@@ -249,14 +250,14 @@
         std::ranges::move(more.refusedExecutions, std::back_inserter(passed.refusedExecutions));
         std::ranges::move(more.actions, std::back_inserter(passed.actions));
     };
-    append(convert(m_admission.expireQueued(now)));
+    append(convert(m_admission.expireQueued(now), now));
     std::scoped_lock lock(m_exchangeMutex);
     if (m_lastExchange != base::TimePoint {} && now - m_lastExchange < exchangeInterval)
         return passed;
     m_lastExchange = now;
     auto messages = exchange(now);
     std::ranges::move(messages, std::back_inserter(passed.actions));
-    append(convert(m_admission.setAllocations(now)));
+    append(convert(m_admission.setAllocations(now), now));
     return passed;
 }
 
--- a/Source/papayabend/engine/AdmissionPath.h
+++ b/Source/papayabend/engine/AdmissionPath.h
@@ -64,13 +64,14 @@
         std::string service;
         std::optional<query::SearchRequest> search;
         bool isAdmitted { false };
+        base::TimePoint admittedAt {};
         base::Duration serviceTime {}; /**< Sum over the answers. */
         int64_t answers { 0 };
     };
     static constexpr routing::RequestId queueTimer = routing::RequestId { 1 } << 47U;
 
     PassedRequests submit(routing::RequestId, Pending, base::TimePoint deadline, base::TimePoint now);
-    PassedRequests convert(admission::AdmissionStep&&);
+    PassedRequests convert(admission::AdmissionStep&&, base::TimePoint now);
     std::vector<admission::ServiceGrants> grants() const;
     Actions exchange(base::TimePoint now);
 
--- a/Source/papayabend/transport/HttpOperator.cpp
+++ b/Source/papayabend/transport/HttpOperator.cpp
@@ -50,7 +50,8 @@
     get("/v1/report.html", "text/html", [this] { return report::renderHtml(m_engine.report(base::BootClock::now())); });
     get("/v1/report.txt", "text/plain",
         [this] { return report::renderTerminal(m_engine.report(base::BootClock::now())); });
-    get("/metrics", "text/plain; version=0.0.4", [this] { return m_metrics.text(gauges()); });
+    get("/metrics", "text/plain; version=0.0.4",
+        [this] { return m_metrics.text(gauges()) + report::renderMetrics(m_engine.report(base::BootClock::now())); });
     get("/healthz", "text/plain", [] { return std::string("ok\n"); });
     m_server.routes().Get("/readyz", [this](const httplib::Request&, httplib::Response& response) {
         auto reason = notServingReason();
--- a/Source/papayabend/transport/TableJson.cpp
+++ b/Source/papayabend/transport/TableJson.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/transport/TableJson.h"
 
-#include <map>
+#include <algorithm>
+#include <iterator>
 
 namespace papayabend::transport {
 
@@ -21,17 +22,31 @@
             { "coverage", objective.coverage }, { "availability", objective.availability } };
     }
 
-    // Returns all cells of the table by name.
-    std::map<std::string, std::string> cellsOf(const Json& table)
+    table::Grant grantOf(const Json& json)
     {
-        std::map<std::string, std::string> cells;
-        for (const auto& [account, grants] : table.at("accounts").items()) {
-            for (const auto& [service, grant] : grants.items())
-                cells["account " + account + ", service " + service] = grant.dump();
-        }
-        for (const auto& [service, objective] : table.at("objectives").items())
-            cells["objective of " + service] = objective.dump();
-        return cells;
+        table::Grant grant;
+        json.at("weight").get_to(grant.weight);
+        if (!json.at("limitPerSecond").is_null())
+            grant.limitPerSecond = json.at("limitPerSecond").get<double>();
+        if (json.at("priority") == table::toString(table::Priority::Bulk))
+            grant.priority = table::Priority::Bulk;
+        return grant;
+    }
+
+    table::Objective objectiveOf(const std::string& service, const Json& json)
+    {
+        return { service, std::chrono::milliseconds(json.at("latencyMs").get<int64_t>()),
+            json.at("latencyTarget").get<double>(), json.at("coverage").get<double>(),
+            json.at("availability").get<double>() };
+    }
+
+    table::Row rowOf(const std::string& account, const Json& grants, const std::vector<std::string>& services)
+    {
+        table::Row row { account, {} };
+        std::ranges::transform(services, std::back_inserter(row.grants), [&](const std::string& service) {
+            return grants.contains(service) ? std::optional(grantOf(grants.at(service))) : std::nullopt;
+        });
+        return row;
     }
 
 }
@@ -52,23 +67,21 @@
     return json;
 }
 
-std::vector<std::string> tableDifferences(const Json& before, const Json& after)
+std::optional<table::Table> parseTableJson(const Json& json, base::LastReason& reason)
 {
-    auto old = cellsOf(before);
-    auto cells = cellsOf(after);
-    std::vector<std::string> lines;
-    for (const auto& [name, cell] : old) {
-        auto it = cells.find(name);
-        if (it == cells.end())
-            lines.push_back("- " + name + ": " + cell);
-        else if (it->second != cell)
-            lines.push_back("~ " + name + ": " + cell + " -> " + it->second);
-    }
-    for (const auto& [name, cell] : cells) {
-        if (!old.contains(name))
-            lines.push_back("+ " + name + ": " + cell);
+    try {
+        table::Table table;
+        json.at("version").get_to(table.version);
+        json.at("services").get_to(table.services);
+        for (const auto& [account, grants] : json.at("accounts").items())
+            table.rows.push_back(rowOf(account, grants, table.services));
+        std::ranges::sort(table.rows, {}, &table::Row::account);
+        for (const auto& [service, objective] : json.at("objectives").items())
+            table.objectives.push_back(objectiveOf(service, objective));
+        return table;
+    } catch (const Json::exception& error) {
+        return base::fail(reason, std::string("the host sent a table that is not valid: ") + error.what());
     }
-    return lines;
 }
 
 }
--- a/Source/papayabend/transport/UpstreamClient.cpp
+++ b/Source/papayabend/transport/UpstreamClient.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/transport/UpstreamClient.h"
 
+#include "papayabend/transport/CallbackQueue.h"
 #include "papayabend/transport/UpstreamConnections.h"
 
 #include <algorithm>
@@ -240,6 +241,7 @@
 UpstreamClient::UpstreamClient(const settings::UpstreamSettings& settings, Done done)
     : m_impl(std::make_shared<Impl>(settings, std::move(done)))
 {
+    keepCallbackQueue();
     m_impl->connections = std::make_unique<UpstreamConnections>(settings, [impl = m_impl.get()] {
         impl->retryWaiting();
         impl->endUnavailable();
--- a/Source/replay/ShareScenarios.cpp
+++ b/Source/replay/ShareScenarios.cpp
@@ -102,7 +102,7 @@
                 auto host = m_finished.top().host;
                 m_finished.pop();
                 --m_busy;
-                take(host, m_hosts[host]->release(service, toTime(serviceSeconds), m_now));
+                take(host, m_hosts[host]->release(service, toTime(serviceSeconds), {}, m_now));
                 startQueued();
             }
             while (!m_messages.empty() && m_messages.top().at <= m_now) {
--- a/Source/standin/ConfigService.cpp
+++ b/Source/standin/ConfigService.cpp
@@ -53,7 +53,7 @@
 
 void ConfigService::addRoutes(httplib::Server& server)
 {
-    auto write = [](Answer answer, httplib::Response& response) {
+    auto write = [](const Answer& answer, httplib::Response& response) {
         response.status = answer.status;
         if (!answer.text.empty())
             response.set_content(answer.text, "text/plain");
--- a/Source/standin/ControlInterface.cpp
+++ b/Source/standin/ControlInterface.cpp
@@ -29,7 +29,7 @@
 }
 
 void addControlRoutes(
-    httplib::Server& server, UpstreamServer& upstreams, ConfigService& config, std::function<void()> publish)
+    httplib::Server& server, UpstreamServer& upstreams, ConfigService& config, const std::function<void()>& publish)
 {
     server.Get("/standin/executions",
         [&](const httplib::Request&, httplib::Response& response) { writeJson(upstreams.executions(), response); });
--- a/Source/standin/ControlInterface.h
+++ b/Source/standin/ControlInterface.h
@@ -16,6 +16,6 @@
  * calls; POST upstreams?prefix=<p>, platform, snapshot?service=<s>&shards=<n>&spreadMs=<n> and crash?name=<n>.
  * \a publish writes the catalogue file.
  */
-void addControlRoutes(httplib::Server&, UpstreamServer&, ConfigService&, std::function<void()> publish);
+void addControlRoutes(httplib::Server&, UpstreamServer&, ConfigService&, const std::function<void()>& publish);
 
 }
