fleet: Let two hosts read the store and push changes to the others

Ruled out: longer waits alone (each change wakes every watch). Change: readers by hash over live hosts that the store answers; they send changes with a beat, others pull what they lack after their own revision; beats of a large fleet stay inside a failure domain; callers are sent to some hosts of a domain.

--- a/Source/papayabend/fleet/BeatCodec.cpp
+++ b/Source/papayabend/fleet/BeatCodec.cpp
@@ -13,7 +13,8 @@
     json toJson(const HostBeat& beat)
     {
         return json::array({ beat.name, beat.callerAddress, beat.peerAddress, beat.failureDomain, beat.incarnation,
-            beat.sequence, static_cast<unsigned>(beat.stage), beat.configurationVersion, beat.contentRevision });
+            beat.sequence, static_cast<unsigned>(beat.stage), beat.configurationVersion, beat.contentRevision,
+            beat.isTurnedAway, beat.capacity });
     }
 
     HostBeat beatOf(const json& value)
@@ -21,7 +22,8 @@
         auto stage = std::min(value.at(6).get<unsigned>(), static_cast<unsigned>(HostStage::Leaving));
         return { value.at(0).get<std::string>(), value.at(1).get<std::string>(), value.at(2).get<std::string>(),
             value.at(3).get<std::string>(), value.at(4).get<uint64_t>(), value.at(5).get<uint64_t>(),
-            static_cast<HostStage>(stage), value.at(7).get<uint64_t>(), value.at(8).get<uint64_t>() };
+            static_cast<HostStage>(stage), value.at(7).get<uint64_t>(), value.at(8).get<uint64_t>(),
+            value.at(9).get<bool>(), value.at(10).get<uint32_t>() };
     }
 
 }
@@ -35,7 +37,7 @@
     for (const auto& note : message.crashes)
         crashes.push_back(json::array({ note.fingerprint, note.crashes }));
     std::string bytes;
-    json::to_cbor(json::array({ beats, crashes }), bytes);
+    json::to_cbor(json::array({ beats, crashes, message.changes }), bytes);
     return bytes;
 }
 
@@ -48,6 +50,7 @@
             message.beats.push_back(beatOf(beat));
         for (const auto& note : value.at(1))
             message.crashes.push_back({ note.at(0).get<uint64_t>(), note.at(1).get<uint32_t>() });
+        message.changes = value.at(2).get<std::string>();
         return message;
     } catch (const json::exception& error) {
         return base::fail(reason, std::string("not a beat: ") + error.what());
--- a/Source/papayabend/fleet/BeatCodec.h
+++ b/Source/papayabend/fleet/BeatCodec.h
@@ -17,6 +17,7 @@
 struct BeatMessage {
     std::vector<HostBeat> beats;
     std::vector<dispatch::CrashNote> crashes;
+    std::string changes; /**< Changes of the store's content, encoded by their owner; mostly empty. */
 };
 
 /** Returns the datagram, as CBOR. */
--- a/Source/papayabend/fleet/EntryAnswer.h
+++ b/Source/papayabend/fleet/EntryAnswer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "papayabend/fleet/FleetView.h"
+#include "papayabend/fleet/Roles.h"
 
 #include <string>
 #include <string_view>
@@ -10,11 +10,11 @@
 
 /** Returns the addresses that a caller in \a failureDomain should use.
  *
- * Ready hosts of the caller's failure domain, if there are two or more; else all ready hosts. When most of the fleet
- * seems to have failed at once, the link of this host is the likelier cause, and hosts that were heard of lately are
- * named too. At most \a limit addresses.
+ * The serving hosts of the caller's failure domain, if there are two or more; else all ready hosts. When most of the
+ * fleet seems to have failed at once, the link of this host is the likelier cause, and hosts that were heard of lately
+ * are named too. At most \a limit addresses.
  */
-std::vector<std::string> entryAddresses(
-    const FleetView&, std::string_view failureDomain, size_t limit, base::TimePoint now);
+std::vector<std::string> entryAddresses(const FleetView&, std::string_view failureDomain, const ServingSettings&,
+    size_t limit, base::TimePoint now);
 
 }
--- a/Source/papayabend/fleet/FleetView.cpp
+++ b/Source/papayabend/fleet/FleetView.cpp
@@ -31,7 +31,21 @@
     return names;
 }
 
-bool FleetView::isAlive(const Member& member, base::TimePoint now) const { return now - member.newsAt <= aliveTime; }
+bool FleetView::isAlive(const Member& member, base::TimePoint now) const
+{
+    auto isRelayed = !isSmall() && member.beat.failureDomain != m_self.failureDomain;
+    return now - member.newsAt <= (isRelayed ? relayedAliveTime : aliveTime);
+}
+
+std::vector<const HostBeat*> FleetView::liveBeats(base::TimePoint now) const
+{
+    std::vector<const HostBeat*> beats { &m_self };
+    for (const auto& [name, member] : m_members) {
+        if (isAlive(member, now))
+            beats.push_back(&member.beat);
+    }
+    return beats;
+}
 
 size_t FleetView::liveHosts(base::TimePoint now) const
 {
--- a/Source/papayabend/fleet/FleetView.h
+++ b/Source/papayabend/fleet/FleetView.h
@@ -32,6 +32,8 @@
     HostStage stage { HostStage::Starting };
     uint64_t configurationVersion { 0 };
     uint64_t contentRevision { 0 }; /**< Newest revision of the store that it has taken. */
+    bool isTurnedAway { false }; /**< The store does not answer it. */
+    uint32_t capacity { 1 }; /**< Processor time that it has, in thousandths of a core. */
 };
 
 /** \struct Member
@@ -50,6 +52,10 @@
     /** Hosts send a beat each 500 ms; four lost ones in a row are taken for a failure. */
     static constexpr base::Duration beatInterval { std::chrono::milliseconds(500) };
     static constexpr base::Duration aliveTime { std::chrono::milliseconds(2200) };
+    /** Hosts that a fleet may have for each to send its beats to every other one. */
+    static constexpr size_t smallFleet = 16;
+    /** Beats from other failure domains of a large fleet come over several hosts. */
+    static constexpr base::Duration relayedAliveTime { std::chrono::seconds(8) };
     /** Time after which a silent host is forgotten; a host that restarts or a healed partition is back earlier. */
     static constexpr base::Duration forgetTime { std::chrono::seconds(30) };
 
@@ -67,6 +73,10 @@
     std::vector<std::string> forget(base::TimePoint now);
 
     bool isAlive(const Member&, base::TimePoint now) const;
+    /** Whether hosts hear each other directly, whatever their failure domain. */
+    bool isSmall() const { return m_members.size() < smallFleet; }
+    /** This host and all live ones. */
+    std::vector<const HostBeat*> liveBeats(base::TimePoint now) const;
     /** Live hosts including this one. */
     size_t liveHosts(base::TimePoint now) const;
     const std::map<std::string, Member>& members() const { return m_members; }
--- a/Source/papayabend/gateway/Content.cpp
+++ b/Source/papayabend/gateway/Content.cpp
@@ -15,7 +15,6 @@
         if (it != m_items.end() && item.revision <= it->second.revision)
             continue;
         m_items.insert_or_assign(item.key, item);
-        m_revision = std::max(m_revision, item.revision);
         if (item.key == m_dialect.configurationKey)
             applyConfiguration(item, now, change);
         else if (item.key.starts_with(m_dialect.upstreamPrefix))
@@ -60,6 +59,7 @@
 bool Content::retain(const std::set<std::string>& keys, uint64_t asOf, base::TimePoint now)
 {
     m_hasList = true;
+    setComplete(asOf);
     // Other hosts must not take what this list no longer has from this host.
     for (auto& [key, item] : m_items) {
         if (!item.isRemoved && item.revision <= asOf && !keys.contains(key)) {
@@ -76,24 +76,36 @@
     return m_upstreams.retain(ids, asOf, now);
 }
 
-std::string Content::encode() const
+std::string Content::encode(uint64_t after) const
 {
     auto items = json::array();
-    for (const auto& [key, item] : m_items)
-        items.push_back(json::array({ key, item.value, item.revision, item.isRemoved }));
+    for (const auto& [key, item] : m_items) {
+        if (item.revision > after)
+            items.push_back(json::array({ key, item.value, item.revision, item.isRemoved }));
+    }
     std::string bytes;
-    json::to_cbor(items, bytes);
+    json::to_cbor(json::array({ after, m_revision, items }), bytes);
     return bytes;
 }
 
-std::optional<std::vector<StoreItem>> Content::decode(std::string_view bytes, base::LastReason& reason)
+std::optional<ContentChange> Content::applyEncoded(
+    std::string_view bytes, base::TimePoint now, base::LastReason& reason)
 {
     try {
+        auto message = json::from_cbor(bytes);
+        auto after = message.at(0).get<uint64_t>();
+        auto revision = message.at(1).get<uint64_t>();
+        if (after > m_revision || (!m_hasList && after > 0))
+            return base::fail(reason, "changes after revision " + std::to_string(after) + " do not follow on revision "
+                    + std::to_string(m_revision));
         std::vector<StoreItem> items;
-        for (const auto& item : json::from_cbor(bytes))
-            items.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<uint64_t>(),
-                item.at(3).get<bool>() });
-        return items;
+        for (const auto& item : message.at(2))
+            items.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(),
+                item.at(2).get<uint64_t>(), item.at(3).get<bool>() });
+        auto change = apply(items, now);
+        m_hasList = true;
+        setComplete(revision);
+        return change;
     } catch (const json::exception& error) {
         return base::fail(reason, std::string("not a content message: ") + error.what());
     }
--- a/Source/papayabend/gateway/Content.h
+++ b/Source/papayabend/gateway/Content.h
@@ -5,6 +5,7 @@
 #include "papayabend/gateway/Dialect.h"
 #include "papayabend/routes/Configuration.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,7 +36,10 @@
     {
     }
 
+    /** Takes items of a page; they do not count as complete before setComplete() or retain(). */
     ContentChange apply(std::span<const StoreItem>, base::TimePoint now);
+    /** Notes that all changes up to \a revision have been taken. */
+    void setComplete(uint64_t revision) { m_revision = std::max(m_revision, revision); }
     /** Marks upstreams as missing that a full list did not contain. Returns whether any changed. */
     bool retain(const std::set<std::string>& keys, uint64_t asOf, base::TimePoint now);
     bool expire(base::TimePoint now) { return m_upstreams.expire(now); }
@@ -45,15 +49,13 @@
     base::TimePoint configurationSince() const { return m_configurationSince; }
     const discovery::UpstreamDirectory& upstreams() const { return m_upstreams; }
     bool hasList() const { return m_hasList; }
-    /** Newest revision of an item that has been taken. */
+    /** Revision up to which all changes have been taken. */
     uint64_t revision() const { return m_revision; }
 
-    /** All items with their revisions, as CBOR, for another host. */
-    std::string encode() const;
-    /** Parses the result of encode(). */
-    static std::optional<std::vector<StoreItem>> decode(std::string_view bytes, base::LastReason& reason);
-    /** Notes that another host's content has been taken as a whole. */
-    void setHasList() { m_hasList = true; }
+    /** The items that changed after revision  after, as CBOR, for another host. */
+    std::string encode(uint64_t after) const;
+    /** Takes the result of encode() of another host. Items are refused if this host lacks what came before them. */
+    std::optional<ContentChange> applyEncoded(std::string_view bytes, base::TimePoint now, base::LastReason& reason);
 
 private:
     void applyConfiguration(const StoreItem&, base::TimePoint now, ContentChange&);
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/gateway/GatewayHost.h"
 
 #include "papayabend/fleet/EntryAnswer.h"
+#include "papayabend/fleet/Roles.h"
 #include "papayabend/gateway/Exchange.h"
 
 #include <algorithm>
@@ -16,8 +17,15 @@
     constexpr std::chrono::milliseconds tickInterval { 250 };
     // Ticks between looks at the settings file and between updates of the metrics.
     constexpr uint64_t settingsTicks = 4;
-    // A watch shows a change within some milliseconds; a host that is behind for longer asks the one that is ahead.
-    constexpr base::Duration behindTime { std::chrono::milliseconds(300) };
+    // A reader's own watch shows a change within some milliseconds; hosts of another failure domain are asked when the
+    // reader of the own one has not passed a change on.
+    constexpr base::Duration readerBehindTime { std::chrono::milliseconds(300) };
+    constexpr base::Duration foreignBehindTime { std::chrono::milliseconds(800) };
+    // Before a host that has just started reads the store, others get the time to welcome it.
+    constexpr base::Duration readerDelay { std::chrono::milliseconds(300) };
+    // Time for which other hosts are preferred as readers after the store has failed this one.
+    constexpr base::Duration turnedAwayTime { std::chrono::seconds(6) };
+    constexpr double thousandths = 1000;
     // Without a peer's answer within this time a host serves what the store told it.
     constexpr base::Duration joinTime { std::chrono::milliseconds(700) };
     // Addresses in one entry answer.
@@ -37,7 +45,8 @@
         auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
         auto incarnation = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
         return { settings.host.name, settings.listen.callers, settings.listen.peers, settings.host.failureDomain,
-            static_cast<uint64_t>(incarnation), 0, fleet::HostStage::Starting, 0, 0 };
+            static_cast<uint64_t>(incarnation), 0, fleet::HostStage::Starting, 0, 0, false,
+            static_cast<uint32_t>(settings.host.cores * thousandths) };
     }
 
     std::string textOf(const std::string& file)
@@ -101,7 +110,6 @@
             .add("callers", listen.callers)
             .add("peers", listen.peers)
             .add("store", m_state.settings.store.address));
-    m_store.start();
     waitForSignal();
     tick();
     return true;
@@ -129,7 +137,7 @@
     if (address == listen.entry) {
         if (auto question = m_state.dialect.parseEntryQuestion(target)) {
             auto addresses = fleet::entryAddresses(
-                m_state.fleet, question->failureDomain, entryAddressLimit, base::BootClock::now());
+                m_state.fleet, question->failureDomain, serving(), entryAddressLimit, base::BootClock::now());
             auto seconds = std::chrono::duration<double>(m_state.settings.entryAnswers.timeToLiveSeconds);
             Answer answer;
             answer.status = addresses.empty() ? 503 : 200;
@@ -139,11 +147,12 @@
             return true;
         }
     }
-    if (address == listen.peers && target == PeerLink::contentTarget) {
+    if (address == listen.peers && target.starts_with(PeerLink::contentTarget)) {
+        auto after = parseNumber(std::string_view(target).substr(PeerLink::contentTarget.size()));
         Answer answer;
-        answer.status = m_state.content.hasList() ? 200 : 503;
+        answer.status = !after ? 400 : m_state.content.hasList() ? 200 : 503;
         answer.fields = "Content-Type: application/cbor\r\n";
-        answer.body = m_state.content.encode();
+        answer.body = m_state.content.encode(after.value_or(0));
         request->answer(std::move(answer));
         return true;
     }
@@ -162,17 +171,32 @@
 StoreEvents GatewayHost::storeEvents()
 {
     StoreEvents events;
-    events.changed
+    events.paged
         = [this](const StorePage& page) { take(m_state.content.apply(page.items, base::BootClock::now()), "store"); };
+    events.changed = [this](const StorePage& page) {
+        auto before = m_state.content.revision();
+        auto change = m_state.content.apply(page.items, base::BootClock::now());
+        m_state.content.setComplete(std::ranges::max(page.items, {}, &StoreItem::revision).revision);
+        take(change, "store");
+        pushChanges(before);
+    };
     events.listed = [this](const std::set<std::string>& keys, uint64_t asOf) {
+        auto before = m_state.content.revision();
         m_state.content.retain(keys, asOf, base::BootClock::now());
         note("listed",
             LogFields().add("keys", static_cast<int64_t>(keys.size())).add("revision", static_cast<int64_t>(asOf)));
         contentChanged();
+        pushChanges(before);
+    };
+    events.regained = [this] {
+        m_state.fleet.self().isTurnedAway = false;
+        note("regained", LogFields().add("dependency", "store"));
     };
-    events.regained = [this] { note("regained", LogFields().add("dependency", "store")); };
     events.lost = [this](const std::string& reason) {
+        m_state.fleet.self().isTurnedAway = true;
+        m_turnedAwayUntil = base::BootClock::now() + turnedAwayTime;
         note("lost", LogFields().add("dependency", "store").add("reason", reason));
+        beatNow();
     };
     return events;
 }
@@ -184,15 +208,29 @@
     events.crashes = [this] { return m_state.suspects.notes(base::BootClock::now()); };
     events.content = [this](const std::string& bytes, const std::string& from) {
         base::LastReason reason;
-        auto items = Content::decode(bytes, reason);
-        if (!items)
+        auto change = m_state.content.applyEncoded(bytes, base::BootClock::now(), reason);
+        if (!change)
             return note("refused", LogFields().add("from", from).add("reason", reason.text));
-        m_state.content.setHasList();
-        take(m_state.content.apply(*items, base::BootClock::now()), "peer");
+        take(*change, "peer");
+        contentChanged();
     };
     return events;
 }
 
+void GatewayHost::pushChanges(uint64_t after)
+{
+    if (m_state.content.revision() <= after)
+        return;
+    auto addresses = fleet::audience(m_state.fleet, base::BootClock::now());
+    m_peers.push(addresses, m_state.content.encode(after));
+}
+
+void GatewayHost::beatNow()
+{
+    auto addresses = fleet::audience(m_state.fleet, base::BootClock::now());
+    m_peers.push(addresses, {});
+}
+
 void GatewayHost::take(const ContentChange& change, const char* source)
 {
     auto revision = static_cast<int64_t>(m_state.content.revision());
@@ -252,14 +290,17 @@
         for (const auto& destination : route.destinations)
             routed.insert(destination.service);
     }
-    auto hosts = static_cast<double>(1 + m_state.fleet.members().size());
+    auto now = base::BootClock::now();
+    auto hosts = static_cast<double>(fleet::servingCount(m_state.fleet, serving(), now));
+    auto isServing = fleet::isServing(m_state.fleet, serving(), now);
     for (const auto& [id, entry] : m_state.content.upstreams().entries()) {
         const auto& record = entry.record;
         auto limit = configuration->maxConnections.find(record.service);
         auto all = limit == configuration->maxConnections.end() ? 0U : limit->second;
         auto share = all == 0 ? UINT32_MAX : static_cast<uint32_t>(all * connectionShare / hosts);
-        m_state.pool.setMaxConnections(id, std::min(share, record.concurrency * connectionsPerSlot));
-        if (routed.contains(record.service) && entry.presence == discovery::Presence::Listed && !record.isDraining)
+        auto most = isServing ? std::min(share, record.concurrency * connectionsPerSlot) : 1;
+        m_state.pool.setMaxConnections(id, most);
+        if (isServing && routed.contains(record.service) && entry.presence == discovery::Presence::Listed && !record.isDraining)
             m_state.pool.warm(record, 1);
     }
 }
@@ -268,22 +309,50 @@
 {
     auto now = base::BootClock::now();
     auto before = m_state.fleet.members().size();
-    for (const auto& beat : message.beats)
-        m_state.fleet.apply(beat, now);
+    for (const auto& beat : message.beats) {
+        auto known = m_state.fleet.members().find(beat.name);
+        auto isStart = known == m_state.fleet.members().end() || known->second.beat.incarnation < beat.incarnation;
+        auto isNews = m_state.fleet.apply(beat, now);
+        if (isNews && isStart && &beat == message.beats.data())
+            m_peers.welcome(beat.peerAddress);
+    }
     m_state.suspects.merge(message.crashes, now);
     if (m_state.fleet.members().size() != before) {
         note("fleet", LogFields().add("hosts", static_cast<int64_t>(m_state.fleet.members().size() + 1)));
         refreshUpstreams();
     }
+    if (!message.changes.empty())
+        takeChanges(message);
     pullIfBehind(now);
 }
 
+void GatewayHost::takeChanges(const fleet::BeatMessage& message)
+{
+    base::LastReason reason;
+    // Changes that do not follow on what this host has are pulled from their sender, whose beat shows that it is ahead.
+    if (auto change = m_state.content.applyEncoded(message.changes, base::BootClock::now(), reason)) {
+        take(*change, "peer");
+        m_state.fleet.self().contentRevision = m_state.content.revision();
+    }
+}
+
+base::Duration GatewayHost::behindTime(const fleet::Member& ahead) const
+{
+    if (!m_state.content.hasList())
+        return base::Duration(0);
+    if (m_store.isFollowing())
+        return readerBehindTime;
+    auto isNear = m_state.fleet.isSmall() || ahead.beat.failureDomain == m_state.settings.host.failureDomain;
+    return isNear ? base::Duration(0) : foreignBehindTime;
+}
+
 void GatewayHost::pullIfBehind(base::TimePoint now)
 {
     const fleet::Member* ahead = nullptr;
     for (const auto& [name, member] : m_state.fleet.members()) {
-        auto isAhead = member.beat.contentRevision > m_state.content.revision() && m_state.fleet.isAlive(member, now);
-        if (isAhead && (!ahead || member.beat.contentRevision > ahead->beat.contentRevision))
+        auto isAhead = member.beat.contentRevision > m_state.content.revision()
+            && m_state.fleet.isAlive(member, now);
+        if (isAhead && (!ahead || behindTime(member) < behindTime(*ahead)))
             ahead = &member;
     }
     if (!ahead) {
@@ -292,15 +361,28 @@
     }
     if (m_behindSince == base::TimePoint {})
         m_behindSince = now;
-    if (now - m_behindSince < behindTime && m_state.content.hasList())
+    if (now - m_behindSince < behindTime(*ahead))
         return;
-    m_behindSince = now;
-    note("pull",
-        LogFields()
-            .add("from", ahead->beat.name)
-            .add("revision", static_cast<int64_t>(ahead->beat.contentRevision))
-            .add("ownRevision", static_cast<int64_t>(m_state.content.revision())));
-    m_peers.pull(ahead->beat.peerAddress);
+    m_peers.pull(ahead->beat.peerAddress, m_state.content.hasList() ? m_state.content.revision() : 0);
+}
+
+void GatewayHost::updateReader(base::TimePoint now)
+{
+    auto& self = m_state.fleet.self();
+    if (self.isTurnedAway && !m_store.isFollowing() && now >= m_turnedAwayUntil)
+        self.isTurnedAway = false;
+    auto isDue = now - m_startedAt >= readerDelay && fleet::isReader(m_state.fleet, now);
+    if (isDue == m_store.isFollowing())
+        return;
+    note("reader", LogFields().add("reads", isDue ? 1 : 0).add("revision", static_cast<int64_t>(self.contentRevision)));
+    if (!isDue)
+        return m_store.stop();
+    m_store.follow(m_state.content.hasList() ? std::optional(m_state.content.revision()) : std::nullopt);
+}
+
+fleet::ServingSettings GatewayHost::serving() const
+{
+    return { m_state.settings.entryAnswers.hostsPerFailureDomain };
 }
 
 bool GatewayHost::isReady() const { return m_state.fleet.self().stage == fleet::HostStage::Ready; }
@@ -315,7 +397,7 @@
         return;
     self.stage = fleet::HostStage::Ready;
     note("ready", LogFields().add("configuration", static_cast<int64_t>(self.configurationVersion)));
-    m_peers.beatNow();
+    beatNow();
 }
 
 void GatewayHost::tick()
@@ -333,9 +415,13 @@
     if (m_state.fleet.members().size() != before)
         refreshUpstreams();
     m_state.pool.sweep(now);
+    updateReader(now);
+    pullIfBehind(now);
     updateStage();
-    if (++m_ticks % settingsTicks == 0)
+    if (++m_ticks % settingsTicks == 0) {
         checkSettingsFile();
+        refreshUpstreams();
+    }
     m_log.flush();
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([this](const boost::system::error_code& ec) {
@@ -387,7 +473,7 @@
         return;
     m_isStopping = true;
     m_state.fleet.self().stage = fleet::HostStage::Leaving;
-    m_peers.beatNow();
+    beatNow();
     auto now = base::BootClock::now();
     auto grace = std::chrono::duration<double>(m_state.settings.stop.graceSeconds);
     m_stopAt = now + std::chrono::duration_cast<base::Duration>(grace) - stopMargin;
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayabend/fleet/Roles.h"
 #include "papayabend/gateway/GatewayState.h"
 #include "papayabend/gateway/HttpListener.h"
 #include "papayabend/gateway/PeerLink.h"
@@ -38,7 +39,13 @@
     void contentChanged();
     void refreshUpstreams();
     void receive(const fleet::BeatMessage&);
+    void takeChanges(const fleet::BeatMessage&);
     void pullIfBehind(base::TimePoint now);
+    base::Duration behindTime(const fleet::Member&) const;
+    void updateReader(base::TimePoint now);
+    void pushChanges(uint64_t after);
+    void beatNow();
+    fleet::ServingSettings serving() const;
     void tick();
     void waitForSignal();
     void reload(const char* cause);
@@ -65,7 +72,7 @@
     base::TimePoint m_startedAt {};
     base::TimePoint m_behindSince {};
     base::TimePoint m_stopAt {};
-    std::string m_behindOf;
+    base::TimePoint m_turnedAwayUntil {};
     uint64_t m_ticks { 0 };
     bool m_isStopping { false };
 };
--- a/Source/papayabend/gateway/GatewaySettings.cpp
+++ b/Source/papayabend/gateway/GatewaySettings.cpp
@@ -20,6 +20,7 @@
     keys.name("name", host.name);
     keys.name("failureDomain", host.failureDomain);
     keys.name("region", host.region);
+    keys.fraction("cores", host.cores, 0.001, 1024);
 }
 
 static void visit(auto& keys, ListenSettings& listen)
@@ -47,6 +48,7 @@
 static void visit(auto& keys, EntryAnswerSettings& answers)
 {
     keys.fraction("timeToLiveSeconds", answers.timeToLiveSeconds, 0.1, 600);
+    keys.number("hostsPerFailureDomain", answers.hostsPerFailureDomain, 2, 1000);
 }
 
 static void visit(auto& keys, EventLogSettings& log)
--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -19,6 +19,7 @@
     std::string name;
     std::string failureDomain;
     std::string region;
+    double cores { 1 }; /**< Processor time that the host has. */
 };
 
 /** \struct ListenSettings
@@ -67,6 +68,7 @@
  */
 struct EntryAnswerSettings {
     double timeToLiveSeconds { 1 };
+    uint32_t hostsPerFailureDomain { 3 }; /**< That callers are sent to. */
 };
 
 /** \struct EventLogSettings
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/gateway/PeerLink.h"
 
+#include "papayabend/fleet/BeatPlan.h"
 #include "papayabend/gateway/Address.h"
 
 #include <algorithm>
@@ -12,12 +13,8 @@
     using asio::ip::udp;
     using boost::system::error_code;
 
-    // Hosts that hear a beat directly in each round; the others hear it from them.
-    constexpr size_t fanOut = 8;
-    // Beats that a host passes on in one datagram.
-    constexpr size_t maxPassedOn = 96;
-    // Rounds between beats to the seeds once other hosts are known; joins halves of a healed partition.
-    constexpr uint64_t seedRounds = 8;
+    // Beats that a host that has just started hears of.
+    constexpr size_t maxWelcomed = 96;
     constexpr std::chrono::seconds pullTimeout { 2 };
 
 }
@@ -52,7 +49,7 @@
             m_seeds.push_back(peer);
     }
     receive();
-    beat(false);
+    beat();
     schedule();
     return true;
 }
@@ -63,45 +60,53 @@
     m_timer.async_wait([this](const error_code& ec) {
         if (ec)
             return;
-        beat(false);
+        beat();
         schedule();
     });
 }
 
-void PeerLink::beatNow() { beat(true); }
+fleet::BeatMessage PeerLink::ownMessage() const
+{
+    return { { m_fleet.self() }, m_events.crashes(), {} };
+}
 
-std::vector<std::string> PeerLink::targets(bool isPrompt)
+void PeerLink::beat()
 {
-    std::vector<std::string> addresses;
-    std::ranges::transform(
-        m_fleet.members(), std::back_inserter(addresses), [](const auto& it) { return it.second.beat.peerAddress; });
-    std::ranges::shuffle(addresses, m_random);
-    if (!isPrompt && addresses.size() > fanOut)
-        addresses.resize(fanOut);
-    if (m_fleet.members().empty() || m_rounds % seedRounds == 0) {
-        for (const auto& seed : m_seeds) {
-            if (std::ranges::find(addresses, seed) == addresses.end())
-                addresses.push_back(seed);
+    ++m_fleet.self().sequence;
+    ++m_rounds;
+    auto message = ownMessage();
+    auto own = fleet::encodeBeats(message);
+    for (const auto& planned : fleet::planBeats(m_fleet, m_seeds, m_rounds, m_random, base::BootClock::now())) {
+        if (planned.passedOn.empty()) {
+            send(own, planned.address);
+            continue;
         }
+        auto longer = message;
+        std::ranges::copy(planned.passedOn, std::back_inserter(longer.beats));
+        send(fleet::encodeBeats(longer), planned.address);
     }
-    return addresses;
 }
 
-void PeerLink::beat(bool isPrompt)
+void PeerLink::push(std::span<const std::string> addresses, std::string changes)
 {
     ++m_fleet.self().sequence;
-    ++m_rounds;
-    fleet::BeatMessage message { { m_fleet.self() }, m_events.crashes() };
-    auto own = fleet::encodeBeats(message);
-    for (const auto& [name, member] : m_fleet.members()) {
-        if (message.beats.size() < maxPassedOn && m_fleet.isAlive(member, base::BootClock::now()))
-            message.beats.push_back(member.beat);
+    auto message = ownMessage();
+    if (changes.size() <= maxPushedBytes)
+        message.changes = std::move(changes);
+    auto bytes = fleet::encodeBeats(message);
+    for (const auto& address : addresses)
+        send(bytes, address);
+}
+
+void PeerLink::welcome(const std::string& address)
+{
+    ++m_fleet.self().sequence;
+    auto message = ownMessage();
+    for (const auto* beat : m_fleet.liveBeats(base::BootClock::now())) {
+        if (beat != &m_fleet.self() && message.beats.size() < maxWelcomed)
+            message.beats.push_back(*beat);
     }
-    auto all = fleet::encodeBeats(message);
-    auto addresses = targets(isPrompt);
-    // One host a round hears of all others, so that hosts find each other through any common acquaintance.
-    for (size_t n = 0; n < addresses.size(); ++n)
-        send(n == 0 || m_fleet.self().sequence <= 3 ? all : own, addresses[n]);
+    send(fleet::encodeBeats(message), address);
 }
 
 void PeerLink::send(const std::string& bytes, const std::string& address)
@@ -133,7 +138,7 @@
     });
 }
 
-void PeerLink::pull(const std::string& address)
+void PeerLink::pull(const std::string& address, uint64_t revision)
 {
     auto endpoint = tcpEndpoint(address);
     if (m_pull || !endpoint)
@@ -149,10 +154,11 @@
         timer->cancel();
         m_pull.reset();
     };
-    m_pull->open(*endpoint, [this, address, finish](const std::string& problem) {
+    m_pull->open(*endpoint, [this, address, revision, finish](const std::string& problem) {
         if (!problem.empty())
             return finish();
-        auto request = requestText("GET", contentTarget, "Host: " + address + "\r\n", {}, false);
+        auto target = std::string(contentTarget) + std::to_string(revision);
+        auto request = requestText("GET", target, "Host: " + address + "\r\n", {}, false);
         m_pull->send(request, {}, {}, false, [this, address, finish](const CallResult& result) {
             finish();
             if (result.end == CallEnd::Answered && result.answer.result_int() == 200)
--- a/Source/papayabend/gateway/PeerLink.h
+++ b/Source/papayabend/gateway/PeerLink.h
@@ -22,7 +22,7 @@
 struct PeerEvents {
     std::function<void(const fleet::BeatMessage&)> received;
     std::function<std::vector<dispatch::CrashNote>()> crashes; /**< Notes to send along. */
-    std::function<void(std::string bytes, const std::string& from)> content; /**< Answer to a pull. */
+    std::function<void(const std::string& bytes, const std::string& from)> content; /**< Answer to a pull. */
 };
 
 /** \class PeerLink
@@ -30,8 +30,10 @@
  */
 class PeerLink {
 public:
-    /** Request target under which a host gives its content to others. */
-    static constexpr auto contentTarget = "/content";
+    /** Beginning of the request target under which a host gives others its content after a revision. */
+    static constexpr std::string_view contentTarget = "/content?after=";
+    /** Changes up to this size go out with a beat; larger ones are pulled by those who lack them. */
+    static constexpr size_t maxPushedBytes = 8 * 1024;
 
     PeerLink(boost::asio::io_context&, fleet::FleetView&, uint64_t seed, PeerEvents);
     ~PeerLink();
@@ -39,18 +41,20 @@
     PeerLink& operator=(const PeerLink&) = delete;
 
     bool start(const std::string& address, std::span<const std::string> seeds);
-    /** Sends a beat to all known hosts now, for a change that should not wait. */
-    void beatNow();
-    /** Asks the host at \a address for its content, unless a pull is under way. */
-    void pull(const std::string& address);
+    /** Sends a beat with \a changes to \a addresses now. */
+    void push(std::span<const std::string> addresses, std::string changes);
+    /** Sends a beat to one host and tells it of all others, for a host that has just started. */
+    void welcome(const std::string& address);
+    /** Asks the host at \a address for its content after \a revision, unless a pull is under way. */
+    void pull(const std::string& address, uint64_t revision);
     uint64_t sentBytes() const { return m_sentBytes; }
 
 private:
     void schedule();
-    void beat(bool isPrompt);
+    void beat();
+    fleet::BeatMessage ownMessage() const;
     void send(const std::string& bytes, const std::string& address);
     void receive();
-    std::vector<std::string> targets(bool isPrompt);
 
     boost::asio::io_context& m_io;
     fleet::FleetView& m_fleet;
--- a/Source/papayabend/gateway/StoreReader.cpp
+++ b/Source/papayabend/gateway/StoreReader.cpp
@@ -10,9 +10,11 @@
 
     // A store that is fifty times slower than usual answers a list within half a second.
     constexpr base::Duration listTimeout { std::chrono::seconds(2) };
-    constexpr base::Duration watchTime { std::chrono::seconds(10) };
-    // On top of the wait that the store was asked for.
-    constexpr base::Duration watchSlack { std::chrono::seconds(2) };
+    // A watch that the store does not answer is noticed after this time and the slack.
+    constexpr base::Duration watchTime { std::chrono::seconds(3) };
+    constexpr base::Duration watchSlack { std::chrono::seconds(1) };
+    // Changes often come in series; a pause after each answer takes several of them with one call.
+    constexpr base::Duration seriesPause { std::chrono::milliseconds(150) };
     // Pauses between calls that fail; they double from the first to the second, spread by a half.
     constexpr base::Duration minPause { std::chrono::milliseconds(100) };
     constexpr base::Duration maxPause { std::chrono::milliseconds(800) };
@@ -36,7 +38,29 @@
 
 StoreReader::~StoreReader() = default;
 
-void StoreReader::start() { next(); }
+void StoreReader::follow(std::optional<uint64_t> revision)
+{
+    stop();
+    m_isFollowing = true;
+    m_isListing = !revision;
+    m_revision = revision.value_or(0);
+    m_failures = 0;
+    m_hasFailed = false;
+    next();
+}
+
+void StoreReader::stop()
+{
+    m_isFollowing = false;
+    m_isConnected = false;
+    m_callTimer.cancel();
+    m_retryTimer.cancel();
+    m_after.clear();
+    m_listed.clear();
+    if (auto connection = std::move(m_connection))
+        connection->close("the store is read by another host");
+    m_connection.reset();
+}
 
 void StoreReader::next()
 {
@@ -53,24 +77,29 @@
             m_connection->close("no answer in time");
     });
     if (m_connection && m_connection->isIdle())
-        return sent(target, timeout);
+        return sent(target);
     auto endpoint = tcpEndpoint(m_address);
     if (!endpoint)
         return failed("the address is not valid");
     m_connection = std::make_shared<HttpConnection>(m_io);
-    m_connection->open(*endpoint, [this, target, timeout](const std::string& problem) {
+    m_connection->open(*endpoint, [this, target, opened = m_connection](const std::string& problem) {
+        if (opened != m_connection)
+            return;
         if (!problem.empty())
             return failed(problem);
-        sent(target, timeout);
+        sent(target);
     });
 }
 
-void StoreReader::sent(const std::string& target, base::Duration)
+void StoreReader::sent(const std::string& target)
 {
     ++m_calls;
     auto fields = "Host: " + m_address + "\r\n";
     m_connection->send(requestText("GET", target, fields, {}, false), {}, {}, false,
-        [this](const CallResult& result) { answered(result); });
+        [this, used = m_connection](const CallResult& result) {
+            if (used == m_connection)
+                answered(result);
+        });
 }
 
 void StoreReader::answered(const CallResult& result)
@@ -106,7 +135,7 @@
         m_after = page->items.back().key;
     m_failures = 0;
     m_answeredAt = base::BootClock::now();
-    m_events.changed(*page);
+    m_events.paged(*page);
     if (!hasMore) {
         m_events.listed(m_listed, m_listAsOf);
         m_isListing = false;
@@ -134,8 +163,19 @@
         m_isConnected = true;
         m_events.regained();
     }
+    if (page->items.empty())
+        return next();
     m_events.changed(*page);
-    next();
+    pause(seriesPause);
+}
+
+void StoreReader::pause(base::Duration time)
+{
+    m_retryTimer.expires_after(time);
+    m_retryTimer.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec && m_isFollowing)
+            next();
+    });
 }
 
 void StoreReader::failed(const std::string& reason)
@@ -147,14 +187,9 @@
         m_hasFailed = true;
         m_events.lost(reason);
     }
-    auto pause = std::min<base::Duration>(minPause * (1 << std::min(m_failures, 3U)), maxPause);
+    auto time = std::min<base::Duration>(minPause * (1 << std::min(m_failures, 3U)), maxPause);
     ++m_failures;
-    m_retryTimer.expires_after(
-        std::chrono::duration_cast<base::Duration>(pause * (0.75 + 0.5 * base::uniform(m_random))));
-    m_retryTimer.async_wait([this](const boost::system::error_code& ec) {
-        if (!ec)
-            next();
-    });
+    pause(std::chrono::duration_cast<base::Duration>(time * (0.75 + 0.5 * base::uniform(m_random))));
 }
 
 }
--- a/Source/papayabend/gateway/StoreReader.h
+++ b/Source/papayabend/gateway/StoreReader.h
@@ -16,7 +16,8 @@
  * \brief Receivers of what a StoreReader learns.
  */
 struct StoreEvents {
-    std::function<void(const StorePage&)> changed; /**< Written and removed items. */
+    std::function<void(const StorePage&)> paged; /**< Items of a list in progress. */
+    std::function<void(const StorePage&)> changed; /**< All changes up to the newest item's revision. */
     /** The keys of a full list, complete as of a revision. */
     std::function<void(const std::set<std::string>& keys, uint64_t asOf)> listed;
     std::function<void()> regained;
@@ -35,7 +36,11 @@
     StoreReader(const StoreReader&) = delete;
     StoreReader& operator=(const StoreReader&) = delete;
 
-    void start();
+    /** Waits for changes after \a revision, or lists everything first if there is none. */
+    void follow(std::optional<uint64_t> revision);
+    /** Ends the present call; nothing is called until the next follow(). */
+    void stop();
+    bool isFollowing() const { return m_isFollowing; }
 
     bool isConnected() const { return m_isConnected; }
     /** Time of the newest good answer. */
@@ -46,7 +51,8 @@
 private:
     void next();
     void call(const std::string& target, base::Duration timeout);
-    void sent(const std::string& target, base::Duration timeout);
+    void sent(const std::string& target);
+    void pause(base::Duration);
     void answered(const CallResult&);
     void takePage(const HttpResponse&);
     void takeEvents(const HttpResponse&);
@@ -60,6 +66,7 @@
     std::shared_ptr<HttpConnection> m_connection;
     boost::asio::steady_timer m_callTimer;
     boost::asio::steady_timer m_retryTimer;
+    bool m_isFollowing { false };
     bool m_isListing { true };
     bool m_isConnected { false };
     bool m_hasFailed { false };
