gateway: Bound connections by what upstreams accept

Ruled out: the retry budget (not exhausted in the trace), the store (back at 38.4 s). Change: two unproven connections at most, a bound learned from connections that are reset unused, which grows by one a second; a starting host reads the store after 60 ms.

--- a/Source/papayabend/dispatch/ChooseUpstream.cpp
+++ b/Source/papayabend/dispatch/ChooseUpstream.cpp
@@ -18,6 +18,9 @@
     // An address that another upstream has stays with it; the pause bounds the harm of a wrong answer. Each request that
     // goes there counts as a repeat at the service of that other upstream.
     constexpr base::Duration misdirectionPause { std::chrono::seconds(10) };
+    // Time after which one connection more is tried. Connections of hosts that lost power count at an upstream until it
+    // closes idle ones, some seconds later.
+    constexpr base::Duration connectionGrowth { std::chrono::seconds(1) };
     // Time to open a connection, of the order that the operators state for their upstreams.
     constexpr base::Duration connectTime { std::chrono::milliseconds(6) };
     // Links between failure domains cost more; an upstream there is taken if it is faster by this factor.
@@ -65,6 +68,20 @@
     ++load.failures;
 }
 
+void addRefusedConnection(UpstreamLoad& load, uint32_t others, base::TimePoint now)
+{
+    load.acceptedConnections = std::max(others, 1U);
+    load.acceptedAt = now;
+}
+
+uint32_t connectionLimit(const UpstreamLoad& load, base::TimePoint now)
+{
+    if (load.acceptedConnections >= load.maxConnections)
+        return load.maxConnections;
+    auto grown = static_cast<uint64_t>((now - load.acceptedAt) / connectionGrowth);
+    return static_cast<uint32_t>(std::min<uint64_t>(load.acceptedConnections + grown, load.maxConnections));
+}
+
 void addMisdirection(UpstreamLoad& load, base::TimePoint now)
 {
     load.misdirectedUntil = now + misdirectionPause;
@@ -88,7 +105,7 @@
         time *= warmUpFactor;
     if (load.idleConnections == 0)
         time += static_cast<double>(connectTime.count());
-    if (load.idleConnections == 0 && load.openConnections >= load.maxConnections)
+    if (load.idleConnections == 0 && load.openConnections >= connectionLimit(load, inputs.now))
         time += typical * (1 + load.waiting);
     if (!load.sentAt.empty()) {
         auto oldest = inputs.now - load.sentAt.front();
--- a/Source/papayabend/dispatch/ChooseUpstream.h
+++ b/Source/papayabend/dispatch/ChooseUpstream.h
@@ -24,6 +24,8 @@
     uint32_t idleConnections { 0 };
     uint32_t openConnections { 0 }; /**< Connections of any state. */
     uint32_t maxConnections { 1 }; /**< Connections that this host may have to it. */
+    uint32_t acceptedConnections { UINT32_MAX }; /**< Bound learned from connections that it reset unused. */
+    base::TimePoint acceptedAt {}; /**< Time of the newest change of that bound. */
     uint32_t waiting { 0 }; /**< Requests that wait for a connection. */
 };
 
@@ -52,6 +54,12 @@
 /** Records a failed attempt: the pause doubles with each failure in a row. */
 void addFailure(UpstreamLoad&, base::TimePoint now);
 
+/** Records that the upstream ended a connection on which it had answered nothing: it accepts no more than \a others. */
+void addRefusedConnection(UpstreamLoad&, uint32_t others, base::TimePoint now);
+
+/** Returns the connections that this host may have to the upstream now; the learned bound grows with time. */
+uint32_t connectionLimit(const UpstreamLoad&, base::TimePoint now);
+
 /** Records that another upstream answers at the address. */
 void addMisdirection(UpstreamLoad&, base::TimePoint now);
 
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -15,6 +15,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds tickInterval { 250 };
+    // Until a host is ready.
+    constexpr std::chrono::milliseconds startTickInterval { 25 };
     // Ticks between looks at the settings file and between updates of the metrics.
     constexpr uint64_t settingsTicks = 4;
     // A reader's own watch shows a change within some milliseconds; hosts of another failure domain are asked when the
@@ -22,12 +24,12 @@
     constexpr base::Duration readerBehindTime { std::chrono::milliseconds(300) };
     constexpr base::Duration foreignBehindTime { std::chrono::milliseconds(800) };
     // Before a host that has just started reads the store, others get the time to welcome it.
-    constexpr base::Duration readerDelay { std::chrono::milliseconds(300) };
+    constexpr base::Duration readerDelay { std::chrono::milliseconds(60) };
     // Time for which other hosts are preferred as readers after the store has failed this one.
     constexpr base::Duration turnedAwayTime { std::chrono::seconds(6) };
     constexpr double thousandths = 1000;
     // Without a peer's answer within this time a host serves what the store told it.
-    constexpr base::Duration joinTime { std::chrono::milliseconds(700) };
+    constexpr base::Duration joinTime { std::chrono::milliseconds(200) };
     // Addresses in one entry answer.
     constexpr size_t entryAddressLimit = 64;
     // Callers keep an entry answer for up to three times its time to live.
@@ -423,7 +425,8 @@
         refreshUpstreams();
     }
     m_log.flush();
-    m_tickTimer.expires_after(tickInterval);
+    auto isStarting = m_state.fleet.self().stage == fleet::HostStage::Starting;
+    m_tickTimer.expires_after(isStarting ? startTickInterval : tickInterval);
     m_tickTimer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
             tick();
--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -189,6 +189,7 @@
     if (auto seconds = keepAliveSeconds(toView(result.answer[http::field::keep_alive])))
         m_idleUntil = base::BootClock::now() + std::chrono::seconds(*seconds) - idleMargin;
     m_idleSince = base::BootClock::now();
+    m_isProven = true;
     if (!keepsAlive) {
         error_code ec;
         m_socket.close(ec);
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -71,6 +71,8 @@
     /** Time until which the peer keeps an idle connection, less a margin; nothing if it has not said. */
     std::optional<base::TimePoint> idleUntil() const { return m_idleUntil; }
     base::TimePoint idleSince() const { return m_idleSince; }
+    /** Whether a request has been answered on it. */
+    bool isProven() const { return m_isProven; }
 
 private:
     using Parser = http::response_parser<http::string_body>;
@@ -98,6 +100,7 @@
     std::optional<base::TimePoint> m_idleUntil;
     base::TimePoint m_idleSince {};
     bool m_isConnected { false };
+    bool m_isProven { false };
     bool m_isHead { false };
     bool m_isWritten { false };
     bool m_isSkipping { false }; // an answer to another request was seen
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -12,6 +12,8 @@
     // An idle connection whose peer states no limit is closed after this time.
     constexpr base::Duration defaultIdleTime { std::chrono::seconds(10) };
     // A request that cannot be repeated goes to a connection that was used this recently, or to a new one.
+    // Connections on which an upstream has answered nothing yet.
+    constexpr size_t maxUnproven = 2;
     constexpr base::Duration freshTime { std::chrono::milliseconds(900) };
 
 }
@@ -78,7 +80,7 @@
     auto& to = upstream(record.id);
     use(to, record);
     refreshCounts(to);
-    for (auto n = to.load.openConnections; n < std::min(count, to.load.maxConnections); ++n)
+    if (to.load.openConnections < count && mayConnect(to))
         connect(to);
 }
 
@@ -118,15 +120,35 @@
             failQueue(*to, problem);
         return;
     }
-    connection->setOnIdleEnd([this, id] {
-        if (auto* ended = find(id))
+    connection->setOnIdleEnd([this, id, raw = connection.get()] {
+        if (auto* ended = find(id)) {
+            noteRefused(*ended, *raw);
             refreshCounts(*ended);
+        }
     });
     to->connections.push_back(connection);
     refreshCounts(*to);
     serveQueue(*to);
 }
 
+bool UpstreamPool::mayConnect(const Upstream& upstream)
+{
+    // One at a time until the upstream has answered on it, since an upstream at its bound resets it after a moment.
+    auto isUnproven = [](const auto& it) { return !it->isProven() && !it->isIdle(); };
+    auto unproven = static_cast<size_t>(std::ranges::count_if(upstream.connections, isUnproven)) + upstream.connecting;
+    return unproven < maxUnproven
+        && upstream.load.openConnections < dispatch::connectionLimit(upstream.load, base::BootClock::now());
+}
+
+void UpstreamPool::noteRefused(Upstream& upstream, const HttpConnection& ended)
+{
+    if (ended.isProven())
+        return;
+    auto others = std::ranges::count_if(
+        upstream.connections, [&](const auto& it) { return it.get() != &ended && it->isOpen(); });
+    dispatch::addRefusedConnection(upstream.load, static_cast<uint32_t>(others), base::BootClock::now());
+}
+
 std::shared_ptr<HttpConnection> UpstreamPool::idleConnection(Upstream& upstream, bool fresh)
 {
     auto now = base::BootClock::now();
@@ -156,13 +178,14 @@
     }
     refreshCounts(upstream);
     // A connection that is idle but not fresh enough makes way for a new one.
-    if (!upstream.queue.empty() && upstream.load.openConnections >= upstream.load.maxConnections) {
+    auto limit = dispatch::connectionLimit(upstream.load, base::BootClock::now());
+    if (!upstream.queue.empty() && upstream.load.openConnections >= limit) {
         auto it = std::ranges::find_if(upstream.connections, [](const auto& each) { return each->isIdle(); });
         if (it != upstream.connections.end())
             (*it)->close("replaced by a new connection");
         refreshCounts(upstream);
     }
-    while (upstream.connecting < upstream.queue.size() && upstream.load.openConnections < upstream.load.maxConnections)
+    if (upstream.connecting < upstream.queue.size() && mayConnect(upstream))
         connect(upstream);
 }
 
@@ -188,6 +211,9 @@
             from->load.sentAt.erase(it);
         if (result.end != CallEnd::Answered)
             ++m_counters.attemptsLost;
+        auto connection = attempt->connection.lock();
+        if (connection && result.end == CallEnd::Lost && !result.hadAnswerBytes)
+            noteRefused(*from, *connection);
         refreshCounts(*from);
         // The queue is served after the caller has taken the result, which may submit more.
         boost::asio::post(m_io, [this, id] {
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -79,6 +79,9 @@
     void failQueue(Upstream&, const std::string& problem);
     static void endAttempt(const std::shared_ptr<Attempt>&, CallResult);
     static void refreshCounts(Upstream&);
+    /** Notes a connection that the upstream has ended before it answered anything on it. */
+    void noteRefused(Upstream&, const HttpConnection&);
+    static bool mayConnect(const Upstream&);
 
     boost::asio::io_context& m_io;
     std::string m_idName;
