--- a/Source/papayabend/dispatch/ChooseUpstream.cpp
+++ b/Source/papayabend/dispatch/ChooseUpstream.cpp
@@ -15,8 +15,8 @@
     constexpr base::Duration slownessHalfLife { std::chrono::seconds(3) };
     constexpr base::Duration minPause { std::chrono::milliseconds(200) };
     constexpr base::Duration maxPause { std::chrono::milliseconds(1600) };
-    // An address that another upstream has stays with it; the pause bounds the harm of a wrong answer. Each request that
-    // goes there counts as a repeat at the service of that other upstream.
+    // An address that another upstream has stays with it; the pause bounds the harm of a wrong answer. Each request
+    // that goes there counts as a repeat at the service of that other upstream.
     constexpr base::Duration misdirectionPause { std::chrono::seconds(10) };
     // Time after which one connection more is tried. Connections of hosts that lost power count at an upstream until it
     // closes idle ones, some seconds later.
@@ -82,10 +82,7 @@
     return static_cast<uint32_t>(std::min<uint64_t>(load.acceptedConnections + grown, load.maxConnections));
 }
 
-void addMisdirection(UpstreamLoad& load, base::TimePoint now)
-{
-    load.misdirectedUntil = now + misdirectionPause;
-}
+void addMisdirection(UpstreamLoad& load, base::TimePoint now) { load.misdirectedUntil = now + misdirectionPause; }
 
 bool isUsable(const Candidate& candidate, base::TimePoint now)
 {
--- a/Source/papayabend/fleet/BeatPlan.cpp
+++ b/Source/papayabend/fleet/BeatPlan.cpp
@@ -27,8 +27,8 @@
         return copies;
     }
 
-    void planSmall(const Beats& known, const Beats& live, uint64_t round, base::Random& random,
-        std::vector<PlannedBeat>& plan)
+    void planSmall(
+        const Beats& known, const Beats& live, uint64_t round, base::Random& random, std::vector<PlannedBeat>& plan)
     {
         for (const auto* beat : known)
             plan.push_back({ beat->peerAddress, {} });
--- a/Source/papayabend/fleet/BeatPlan.h
+++ b/Source/papayabend/fleet/BeatPlan.h
@@ -19,10 +19,10 @@
 
 /** Returns the datagrams of a round.
  *
- * Small fleet: to every host, and to one of them with all live beats. Large fleet: to the hosts of the own failure domain,
- * with some beats of others, and to one host of another failure domain with beats of the own one. The cost of a round grows
- * with the size of a failure domain, not of the fleet. Seeds are asked until another host is known, and then seldom, to
- * join the halves of a fleet that was parted.
+ * Small fleet: to every host, and to one of them with all live beats. Large fleet: to the hosts of the own failure
+ * domain, with some beats of others, and to one host of another failure domain with beats of the own one. The cost of a
+ * round grows with the size of a failure domain, not of the fleet. Seeds are asked until another host is known, and
+ * then seldom, to join the halves of a fleet that was parted.
  */
 std::vector<PlannedBeat> planBeats(
     const FleetView&, std::span<const std::string> seeds, uint64_t round, base::Random&, base::TimePoint now);
--- a/Source/papayabend/fleet/EntryAnswer.cpp
+++ b/Source/papayabend/fleet/EntryAnswer.cpp
@@ -23,8 +23,8 @@
 std::vector<std::string> entryAddresses(const FleetView& fleet, std::string_view failureDomain,
     const ServingSettings& settings, size_t limit, base::TimePoint now)
 {
-    auto isInDoubt = static_cast<double>(fleet.liveHosts(now))
-        < minLiveShare * static_cast<double>(1 + fleet.members().size());
+    auto isInDoubt
+        = static_cast<double>(fleet.liveHosts(now)) < minLiveShare * static_cast<double>(1 + fleet.members().size());
     auto hosts = servingHosts(fleet, failureDomain, settings, now);
     if (hosts.size() < minLocalHosts || isInDoubt) {
         auto add = [&](const HostBeat& beat) {
--- a/Source/papayabend/fleet/EntryAnswer.h
+++ b/Source/papayabend/fleet/EntryAnswer.h
@@ -14,7 +14,7 @@
  * fleet seems to have failed at once, the link of this host is the likelier cause, and hosts that were heard of lately
  * are named too. At most \a limit addresses.
  */
-std::vector<std::string> entryAddresses(const FleetView&, std::string_view failureDomain, const ServingSettings&,
-    size_t limit, base::TimePoint now);
+std::vector<std::string> entryAddresses(
+    const FleetView&, std::string_view failureDomain, const ServingSettings&, size_t limit, base::TimePoint now);
 
 }
--- a/Source/papayabend/fleet/Roles.h
+++ b/Source/papayabend/fleet/Roles.h
@@ -30,8 +30,8 @@
 
 /** Returns the ready hosts of \a failureDomain that callers are sent to, the same on every host with the same view.
  *
- * Fewer hosts have more connections to each upstream and see more of its load. Hosts with more capacity are taken first,
- * in classes of a factor of two; inside a class a hash decides, so that the loss of a host moves no other.
+ * Fewer hosts have more connections to each upstream and see more of its load. Hosts with more capacity are taken
+ * first, in classes of a factor of two; inside a class a hash decides, so that the loss of a host moves no other.
  */
 std::vector<const HostBeat*> servingHosts(
     const FleetView&, std::string_view failureDomain, const ServingSettings&, base::TimePoint now);
--- a/Source/papayabend/gateway/Content.cpp
+++ b/Source/papayabend/gateway/Content.cpp
@@ -96,12 +96,13 @@
         auto after = message.at(0).get<uint64_t>();
         auto revision = message.at(1).get<uint64_t>();
         if (after > m_revision || (!m_hasList && after > 0))
-            return base::fail(reason, "changes after revision " + std::to_string(after) + " do not follow on revision "
+            return base::fail(reason,
+                "changes after revision " + std::to_string(after) + " do not follow on revision "
                     + std::to_string(m_revision));
         std::vector<StoreItem> items;
         for (const auto& item : message.at(2))
-            items.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(),
-                item.at(2).get<uint64_t>(), item.at(3).get<bool>() });
+            items.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<uint64_t>(),
+                item.at(3).get<bool>() });
         auto change = apply(items, now);
         m_hasList = true;
         setComplete(revision);
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -302,7 +302,8 @@
         auto share = all == 0 ? UINT32_MAX : static_cast<uint32_t>(all * connectionShare / hosts);
         auto most = isServing ? std::min(share, record.concurrency * connectionsPerSlot) : 1;
         m_state.pool.setMaxConnections(id, most);
-        if (isServing && routed.contains(record.service) && entry.presence == discovery::Presence::Listed && !record.isDraining)
+        if (isServing && routed.contains(record.service) && entry.presence == discovery::Presence::Listed
+            && !record.isDraining)
             m_state.pool.warm(record, 1);
     }
 }
@@ -352,8 +353,7 @@
 {
     const fleet::Member* ahead = nullptr;
     for (const auto& [name, member] : m_state.fleet.members()) {
-        auto isAhead = member.beat.contentRevision > m_state.content.revision()
-            && m_state.fleet.isAlive(member, now);
+        auto isAhead = member.beat.contentRevision > m_state.content.revision() && m_state.fleet.isAlive(member, now);
         if (isAhead && (!ahead || behindTime(member) < behindTime(*ahead)))
             ahead = &member;
     }
@@ -382,10 +382,7 @@
     m_store.follow(m_state.content.hasList() ? std::optional(m_state.content.revision()) : std::nullopt);
 }
 
-fleet::ServingSettings GatewayHost::serving() const
-{
-    return { m_state.settings.entryAnswers.hostsPerFailureDomain };
-}
+fleet::ServingSettings GatewayHost::serving() const { return { m_state.settings.entryAnswers.hostsPerFailureDomain }; }
 
 bool GatewayHost::isReady() const { return m_state.fleet.self().stage == fleet::HostStage::Ready; }
 
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -65,10 +65,7 @@
     });
 }
 
-fleet::BeatMessage PeerLink::ownMessage() const
-{
-    return { { m_fleet.self() }, m_events.crashes(), {} };
-}
+fleet::BeatMessage PeerLink::ownMessage() const { return { { m_fleet.self() }, m_events.crashes(), {} }; }
 
 void PeerLink::beat()
 {
--- /dev/null
+++ b/Tests/discovery/UpstreamDirectoryTest.cpp
@@ -0,0 +1,88 @@
+#include "papayabend/discovery/UpstreamDirectory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace std::chrono_literals;
+using discovery::Presence;
+
+TEST_GROUP(UpstreamDirectory)
+{
+    discovery::UpstreamDirectory directory;
+    base::TimePoint now { 100s };
+
+    static discovery::UpstreamRecord record(uint64_t sequence, int64_t startedAt = 1000)
+    {
+        discovery::UpstreamRecord record;
+        record.id = "u1";
+        record.service = "desk";
+        record.address = "10.0.0.1:80";
+        record.sequence = sequence;
+        record.startedAt = startedAt;
+        return record;
+    }
+
+    Presence presence() const { return directory.find("u1")->presence; }
+};
+
+// Guards against a late write of an earlier state that makes a leaving upstream look ready.
+TEST(UpstreamDirectory, EarlierSequenceOfTheSameStartIsIgnored)
+{
+    auto draining = record(5);
+    draining.isDraining = true;
+    directory.apply("u1", 10, draining, now);
+    CHECK_FALSE(directory.apply("u1", 11, record(4), now));
+    CHECK_TRUE(directory.find("u1")->record.isDraining);
+}
+
+// Guards against a restarted upstream that stays out because its counts began anew.
+TEST(UpstreamDirectory, LaterStartUnderTheSameIdIsTaken)
+{
+    auto draining = record(50);
+    draining.isDraining = true;
+    directory.apply("u1", 10, draining, now);
+    CHECK_TRUE(directory.apply("u1", 11, record(1, 2000), now));
+    CHECK_FALSE(directory.find("u1")->record.isDraining);
+}
+
+// Guards against an entry of another writer that keeps an upstream in use, or that harms other entries.
+TEST(UpstreamDirectory, UnusableEntryNamesNoUpstream)
+{
+    directory.apply("u1", 10, record(1), now);
+    CHECK_TRUE(directory.apply("u1", 11, std::nullopt, now));
+    CHECK_TRUE(presence() == Presence::Missing);
+    CHECK_FALSE(directory.apply("u2", 12, std::nullopt, now));
+    POINTERS_EQUAL(nullptr, directory.find("u2"));
+}
+
+// Guards against a late copy from a peer that revives an upstream that has gone.
+TEST(UpstreamDirectory, OlderRevisionsAreIgnored)
+{
+    directory.apply("u1", 10, record(1), now);
+    directory.remove("u1", 12, now);
+    CHECK_FALSE(directory.apply("u1", 11, record(2), now));
+    CHECK_TRUE(presence() == Presence::Missing);
+}
+
+// Guards against upstreams that are dropped although their entries lapsed only while the store was away, and against
+// upstreams that are used long after they have gone.
+TEST(UpstreamDirectory, MissingEntriesAreGoneAfterTheTimeToComeBack)
+{
+    directory.apply("u1", 10, record(1), now);
+    directory.remove("u1", 11, now);
+    CHECK_FALSE(directory.expire(now + 2s));
+    CHECK_TRUE(presence() == Presence::Missing);
+    CHECK_TRUE(directory.expire(now + 2600ms));
+    CHECK_TRUE(presence() == Presence::Gone);
+    directory.apply("u1", 12, record(2), now + 3s);
+    CHECK_TRUE(presence() == Presence::Listed);
+}
+
+// Guards against entries that stay for good when the store has dropped the history that held their removal.
+TEST(UpstreamDirectory, FullListMarksWhatItLacks)
+{
+    directory.apply("u1", 10, record(1), now);
+    CHECK_FALSE(directory.retain({}, 9, now));
+    CHECK_TRUE(directory.retain({}, 10, now));
+    CHECK_TRUE(presence() == Presence::Missing);
+}
--- /dev/null
+++ b/Tests/dispatch/LegTest.cpp
@@ -0,0 +1,62 @@
+#include "papayabend/dispatch/Leg.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace papayabend::dispatch;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Leg)
+{
+    LegPolicy once { false, 3, 50ms };
+    LegPolicy idempotent { true, 2, 50ms };
+    base::TimePoint now { 100s };
+};
+
+// Guards against a non-idempotent request that runs twice.
+TEST(Leg, NonIdempotentRequestIsRepeatedOnlyAfterProofThatItHasNotRun)
+{
+    CHECK_FALSE(mayRepeat(once, { .sent = 1, .provenNotRun = 0 }));
+    CHECK_TRUE(mayRepeat(once, { .sent = 1, .provenNotRun = 1 }));
+    CHECK_TRUE(mayRepeat(once, { .unsent = 1 }));
+    CHECK_FALSE(mayRepeat(once, { .inFlight = 1 }));
+    CHECK_FALSE(isHedgeDue(once, { .sent = 1, .inFlight = 1, .lastSentAt = now }, now + 10s));
+}
+
+// Guards against a request that runs on more upstreams than its route allows.
+TEST(Leg, AttemptsThatMayHaveRunAreBounded)
+{
+    CHECK_TRUE(mayRepeat(idempotent, { .sent = 1 }));
+    CHECK_FALSE(mayRepeat(idempotent, { .sent = 2 }));
+    CHECK_TRUE(mayRepeat(idempotent, { .sent = 2, .provenNotRun = 1 }));
+}
+
+// Guards against a second attempt beside one that waits for its connection and may be sent as well.
+TEST(Leg, WaitingAttemptCountsAsOneThatMayRun)
+{
+    LegPolicy single { true, 1, 50ms };
+    CHECK_FALSE(mayRepeat(single, { .inFlight = 1 }));
+}
+
+// Guards against a request that goes from upstream to upstream without end while all refuse it.
+TEST(Leg, RefusedAttemptsAreBounded)
+{
+    CHECK_FALSE(mayRepeat(idempotent, { .sent = 5, .provenNotRun = 5 }));
+    CHECK_FALSE(mayRepeat(idempotent, { .unsent = 5 }));
+}
+
+// Guards against hedges that are sent before the usual latency has passed.
+TEST(Leg, HedgeIsDueAfterItsDelay)
+{
+    LegHistory history { .sent = 1, .inFlight = 1, .lastSentAt = now };
+    CHECK_FALSE(isHedgeDue(idempotent, history, now + 49ms));
+    CHECK_TRUE(isHedgeDue(idempotent, history, now + 50ms));
+}
+
+// Guards against a refusal that says "not run" of a request that was sent.
+TEST(Leg, VerdictCountsSentAttempts)
+{
+    CHECK_TRUE(verdictOf({ .unsent = 2 }) == base::Verdict::NotRun);
+    CHECK_TRUE(verdictOf({ .sent = 2, .provenNotRun = 2 }) == base::Verdict::NotRun);
+    CHECK_TRUE(verdictOf({ .sent = 2, .provenNotRun = 1 }) == base::Verdict::MayHaveRun);
+}
--- /dev/null
+++ b/Tests/dispatch/RetryBudgetTest.cpp
@@ -0,0 +1,65 @@
+#include "papayabend/dispatch/RetryBudget.h"
+
+#include <CppUTest/TestHarness.h>
+#include <deque>
+#include <vector>
+
+using namespace papayabend;
+using namespace papayabend::dispatch;
+using namespace std::chrono_literals;
+
+TEST_GROUP(RetryBudget)
+{
+    RetryBudgetSettings settings { 0.2, 56, 10s };
+    base::TimePoint start { 1000s };
+
+    /** Hosts that all want to repeat every request; returns the most repeats in any ten seconds, and the requests. */
+    std::pair<size_t, size_t> worstWindow(size_t hosts, base::Duration interval, base::Duration length)
+    {
+        std::vector<RetryBudget> budgets(hosts, RetryBudget(start - 60s));
+        std::deque<base::TimePoint> repeats;
+        std::deque<base::TimePoint> requests;
+        std::pair<size_t, size_t> worst;
+        size_t next = 0;
+        for (auto now = start; now < start + length; now += interval) {
+            auto& budget = budgets[next++ % hosts];
+            budget.addRequest("s", settings, now);
+            requests.push_back(now);
+            if (budget.tryTake("s", settings, hosts, now))
+                repeats.push_back(now);
+            auto isOld = [&](auto time) { return time < now - settings.window; };
+            while (!repeats.empty() && isOld(repeats.front()))
+                repeats.pop_front();
+            while (!requests.empty() && isOld(requests.front()))
+                requests.pop_front();
+            if (repeats.size() > worst.first)
+                worst = { repeats.size(), requests.size() };
+        }
+        return worst;
+    }
+};
+
+// Guards against repeats that exceed the bound of a service when all hosts fail at the same time.
+TEST(RetryBudget, HostsTogetherStayWithinTheBoundInEachWindow)
+{
+    for (size_t hosts : { 1U, 8U, 76U }) {
+        auto [repeats, requests] = worstWindow(hosts, 11ms, 60s);
+        CHECK_TRUE(static_cast<double>(repeats) <= 0.2 * static_cast<double>(requests) + 56);
+        CHECK_TRUE(static_cast<double>(repeats) >= 0.5 * (0.2 * static_cast<double>(requests) + 56));
+    }
+}
+
+// Guards against a service that is hardly used being refused all repeats.
+TEST(RetryBudget, FixedPartServesRareRequests)
+{
+    RetryBudget budget(start - 60s);
+    CHECK_TRUE(budget.tryTake("s", settings, 8, start));
+}
+
+// Guards against processes that start again and again, each with a full budget.
+TEST(RetryBudget, HostThatHasJustStartedHasNoFixedPart)
+{
+    RetryBudget budget(start);
+    CHECK_FALSE(budget.tryTake("s", settings, 8, start + 100ms));
+    CHECK_TRUE(budget.left("s", settings, 8, start + 10s) > 5);
+}
--- /dev/null
+++ b/Tests/fleet/BeatCodecTest.cpp
@@ -0,0 +1,55 @@
+#include "papayabend/fleet/BeatCodec.h"
+#include "fleet/FleetFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace papayabend::fleet;
+
+TEST_GROUP(BeatCodec)
+{
+    base::LastReason reason;
+
+    std::optional<BeatMessage> decode(const std::string& bytes)
+    {
+        return decodeBeats({ reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size() }, reason);
+    }
+};
+
+// Guards against a field that is lost between hosts.
+TEST(BeatCodec, MessageIsReadBackUnchanged)
+{
+    auto beat = hostBeat("b", "d1", 3, 7);
+    beat.stage = HostStage::Leaving;
+    beat.configurationVersion = 11;
+    beat.contentRevision = 12;
+    beat.isTurnedAway = true;
+    beat.capacity = 250;
+    auto message = decode(encodeBeats({ { beat }, { { 99, 2 } }, std::string("\0x", 2) }));
+    CHECK_TRUE(message.has_value());
+    const auto& read = message->beats.front();
+    STRCMP_EQUAL("b", read.name.c_str());
+    STRCMP_EQUAL("callers.b", read.callerAddress.c_str());
+    STRCMP_EQUAL("peers.b", read.peerAddress.c_str());
+    STRCMP_EQUAL("d1", read.failureDomain.c_str());
+    CHECK_TRUE(read.stage == HostStage::Leaving && read.isTurnedAway);
+    LONGS_EQUAL(3, read.incarnation);
+    LONGS_EQUAL(7, read.sequence);
+    LONGS_EQUAL(11, read.configurationVersion);
+    LONGS_EQUAL(12, read.contentRevision);
+    LONGS_EQUAL(250, read.capacity);
+    LONGS_EQUAL(99, message->crashes.front().fingerprint);
+    LONGS_EQUAL(2, message->changes.size());
+}
+
+// Guards against a datagram from elsewhere that ends the process.
+TEST(BeatCodec, OtherBytesAreRefusedWithAReason)
+{
+    for (const auto* text : { "", "GET / HTTP/1.1", "\x83\x01\x02\x03", "\xff\xff" }) {
+        CHECK_FALSE(decode(text).has_value());
+        CHECK_TRUE(reason.text.starts_with("not a beat: "));
+    }
+    auto bytes = encodeBeats({ { hostBeat("b", "d1") }, {}, {} });
+    for (size_t n = 0; n < bytes.size(); ++n)
+        CHECK_FALSE(decode(bytes.substr(0, n)).has_value());
+}
--- /dev/null
+++ b/Tests/fleet/FleetFixture.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "papayabend/fleet/FleetView.h"
+
+#include <string>
+
+/** Returns the beat of a ready host whose addresses follow from its name. */
+inline papayabend::fleet::HostBeat hostBeat(
+    const std::string& name, const std::string& domain, uint64_t incarnation = 1, uint64_t sequence = 1)
+{
+    papayabend::fleet::HostBeat beat;
+    beat.name = name;
+    beat.callerAddress = "callers." + name;
+    beat.peerAddress = "peers." + name;
+    beat.failureDomain = domain;
+    beat.incarnation = incarnation;
+    beat.sequence = sequence;
+    beat.stage = papayabend::fleet::HostStage::Ready;
+    return beat;
+}
--- /dev/null
+++ b/Tests/fleet/FleetViewTest.cpp
@@ -0,0 +1,50 @@
+#include "fleet/FleetFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace papayabend::fleet;
+using namespace std::chrono_literals;
+
+TEST_GROUP(FleetView)
+{
+    FleetView view { hostBeat("a", "d1") };
+    base::TimePoint now { 100s };
+};
+
+// Guards against an old beat that comes over a third host and keeps a dead host alive.
+TEST(FleetView, OnlyNewerBeatsAreNews)
+{
+    CHECK_TRUE(view.apply(hostBeat("b", "d1", 1, 5), now));
+    CHECK_FALSE(view.apply(hostBeat("b", "d1", 1, 5), now + 2s));
+    CHECK_FALSE(view.apply(hostBeat("b", "d1", 1, 4), now + 2s));
+    LONGS_EQUAL(1, view.liveHosts(now + 3s));
+    CHECK_TRUE(view.apply(hostBeat("b", "d1", 2, 1), now + 3s));
+    LONGS_EQUAL(2, view.liveHosts(now + 3s));
+}
+
+// Guards against a host that counts itself twice when others pass its beat on.
+TEST(FleetView, OwnBeatIsIgnored)
+{
+    CHECK_FALSE(view.apply(hostBeat("a", "d1", 9, 9), now));
+    LONGS_EQUAL(1, view.liveHosts(now));
+}
+
+// Guards against a membership that grows with every host that ever was.
+TEST(FleetView, SilentHostsAreForgotten)
+{
+    view.apply(hostBeat("b", "d1"), now);
+    CHECK_TRUE(view.forget(now + 30s).empty());
+    auto names = view.forget(now + 31s);
+    LONGS_EQUAL(1, names.size());
+    CHECK_TRUE(view.members().empty());
+}
+
+// Guards against hosts of other failure domains that seem dead because their beats come over several hosts.
+TEST(FleetView, RelayedBeatsOfALargeFleetHaveMoreTime)
+{
+    for (int n = 0; n < 20; ++n)
+        view.apply(hostBeat("n" + std::to_string(n), n < 10 ? "d1" : "d2"), now);
+    LONGS_EQUAL(11, view.liveHosts(now + 4s));
+    LONGS_EQUAL(1, view.liveHosts(now + 9s));
+}
--- /dev/null
+++ b/Tests/fleet/RolesTest.cpp
@@ -0,0 +1,128 @@
+#include "papayabend/fleet/Roles.h"
+#include "fleet/FleetFixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <set>
+
+using namespace papayabend;
+using namespace papayabend::fleet;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Roles)
+{
+    base::TimePoint now { 100s };
+    std::vector<HostBeat> beats;
+
+    void fill(size_t count, size_t domains)
+    {
+        for (size_t n = 0; n < count; ++n)
+            beats.push_back(hostBeat("h" + std::to_string(n), "d" + std::to_string(n % domains)));
+    }
+
+    FleetView viewOf(size_t index) const
+    {
+        FleetView view(beats[index]);
+        for (const auto& beat : beats)
+            view.apply(beat, now);
+        return view;
+    }
+
+    std::set<std::string> readers() const
+    {
+        std::set<std::string> names;
+        for (size_t n = 0; n < beats.size(); ++n) {
+            if (isReader(viewOf(n), now))
+                names.insert(beats[n].name);
+        }
+        return names;
+    }
+
+    std::string domainOf(const std::string& name) const
+    {
+        return std::ranges::find(beats, name, &HostBeat::name)->failureDomain;
+    }
+};
+
+// Guards against a store that is read by every host, or by none.
+TEST(Roles, SmallFleetHasTwoReadersInDifferentDomains)
+{
+    fill(8, 3);
+    auto names = readers();
+    LONGS_EQUAL(2, names.size());
+    CHECK_TRUE(domainOf(*names.begin()) != domainOf(*names.rbegin()));
+}
+
+// Guards against a fleet whose readers the store turns away while it would answer others.
+TEST(Roles, HostsThatTheStoreTurnsAwayArePassedOver)
+{
+    fill(8, 3);
+    auto first = readers();
+    for (auto& beat : beats)
+        beat.isTurnedAway = first.contains(beat.name);
+    auto second = readers();
+    LONGS_EQUAL(2, second.size());
+    for (const auto& name : second)
+        CHECK_FALSE(first.contains(name));
+    for (auto& beat : beats)
+        beat.isTurnedAway = true;
+    LONGS_EQUAL(2, readers().size());
+}
+
+// Guards against readers whose number grows with a large fleet.
+TEST(Roles, LargeFleetHasOneReaderADomain)
+{
+    fill(66, 5);
+    auto names = readers();
+    std::set<std::string> domains;
+    for (const auto& name : names)
+        domains.insert(domainOf(name));
+    LONGS_EQUAL(5, names.size());
+    LONGS_EQUAL(5, domains.size());
+}
+
+// Guards against a reader that tells nobody, and against changes that cross failure domains once a host.
+TEST(Roles, AudienceOfALargeFleetIsTheOwnDomain)
+{
+    fill(8, 3);
+    LONGS_EQUAL(7, audience(viewOf(0), now).size());
+    beats.clear();
+    fill(60, 5);
+    LONGS_EQUAL(11, audience(viewOf(0), now).size());
+}
+
+// Guards against callers that are moved between all hosts when one is lost.
+TEST(Roles, LossOfAServingHostMovesNoOther)
+{
+    fill(30, 3);
+    auto namesOf = [&] {
+        std::set<std::string> names;
+        auto view = viewOf(0);
+        for (const auto* beat : servingHosts(view, "d1", { 3 }, now))
+            names.insert(beat->name);
+        return names;
+    };
+    auto before = namesOf();
+    LONGS_EQUAL(3, before.size());
+    std::erase_if(beats, [&](const auto& it) { return it.name == *before.begin(); });
+    auto after = namesOf();
+    LONGS_EQUAL(3, after.size());
+    for (auto it = std::next(before.begin()); it != before.end(); ++it)
+        CHECK_TRUE(after.contains(*it));
+}
+
+// Guards against callers that are sent to the weakest hosts, or to hosts that start or leave.
+TEST(Roles, StrongReadyHostsServe)
+{
+    fill(12, 1);
+    for (size_t n = 0; n < beats.size(); ++n)
+        beats[n].capacity = n < 4 ? 500 : 120;
+    beats[0].stage = HostStage::Leaving;
+    auto view = viewOf(5);
+    for (const auto* beat : servingHosts(view, "d0", { 3 }, now)) {
+        LONGS_EQUAL(500, beat->capacity);
+        CHECK_TRUE(beat->name != "h0");
+    }
+    LONGS_EQUAL(3, servingCount(view, { 3 }, now));
+    CHECK_FALSE(isServing(view, { 3 }, now));
+}
--- /dev/null
+++ b/Tests/gateway/ContentTest.cpp
@@ -0,0 +1,124 @@
+#include "papayabend/gateway/Content.h"
+
+#include "papayabend/gateway/HttpMessage.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace papayabend::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A dialect for the test: the value of the configuration is its version, that of an upstream its service.
+std::optional<routes::Configuration> parseVersion(std::string_view value, base::LastReason& reason)
+{
+    auto version = parseNumber(value);
+    if (!version)
+        return base::fail(reason, "no version");
+    routes::Configuration configuration;
+    configuration.version = *version;
+    return configuration;
+}
+
+std::optional<discovery::UpstreamRecord> parseService(
+    std::string_view id, std::string_view value, base::LastReason& reason)
+{
+    if (value.empty())
+        return base::fail(reason, "no service");
+    discovery::UpstreamRecord record;
+    record.id = id;
+    record.service = value;
+    return record;
+}
+
+}
+
+TEST_GROUP(Content)
+{
+    Dialect dialect;
+    base::TimePoint now { 100s };
+    base::LastReason reason;
+
+    void setup() override
+    {
+        dialect.configurationKey = "configuration";
+        dialect.upstreamPrefix = "upstreams/";
+        dialect.parseConfiguration = parseVersion;
+        dialect.parseUpstream = parseService;
+    }
+
+    void apply(Content & content, std::vector<StoreItem> items) const
+    {
+        auto newest = items.back().revision;
+        content.apply(items, now);
+        content.setComplete(newest);
+    }
+};
+
+// Guards against a host that goes back to an older configuration, whatever the store or a peer says.
+TEST(Content, ConfigurationNeverGoesBack)
+{
+    Content content(dialect);
+    apply(content, { { "configuration", "7", 1 } });
+    apply(content, { { "configuration", "5", 2 } });
+    LONGS_EQUAL(7, content.configuration()->version);
+    apply(content, { { "configuration", "broken", 3 } });
+    LONGS_EQUAL(7, content.configuration()->version);
+    apply(content, { { "configuration", "", 4, true } });
+    LONGS_EQUAL(7, content.configuration()->version);
+    apply(content, { { "configuration", "9", 5 } });
+    LONGS_EQUAL(9, content.configuration()->version);
+}
+
+// Guards against changes that a host takes without those before them, and then never asks for.
+TEST(Content, ChangesThatDoNotFollowAreRefused)
+{
+    Content source(dialect);
+    apply(source, { { "configuration", "1", 1 }, { "upstreams/a", "s", 2 }, { "upstreams/b", "s", 3 } });
+    source.retain({ "configuration", "upstreams/a", "upstreams/b" }, 3, now);
+    Content target(dialect);
+    CHECK_FALSE(target.applyEncoded(source.encode(2), now, reason).has_value());
+    CHECK_TRUE(target.applyEncoded(source.encode(0), now, reason).has_value());
+    LONGS_EQUAL(3, target.revision());
+    apply(source, { { "upstreams/a", "", 4, true } });
+    apply(source, { { "upstreams/c", "s", 5 } });
+    CHECK_FALSE(target.applyEncoded(source.encode(4), now, reason).has_value());
+    CHECK_TRUE(target.applyEncoded(source.encode(3), now, reason).has_value());
+    CHECK_TRUE(target.upstreams().find("a")->presence == discovery::Presence::Missing);
+    CHECK_TRUE(target.upstreams().find("c") != nullptr);
+}
+
+// Guards against a page of a list in progress that counts as complete, so that changes between pages are lost.
+TEST(Content, PagesDoNotCountAsComplete)
+{
+    Content content(dialect);
+    content.apply(std::vector<StoreItem> { { "upstreams/z", "s", 9 } }, now);
+    LONGS_EQUAL(0, content.revision());
+    CHECK_FALSE(content.hasList());
+    content.retain({ "upstreams/z" }, 5, now);
+    LONGS_EQUAL(5, content.revision());
+    CHECK_TRUE(content.hasList());
+}
+
+// Guards against a removal that the store has forgotten and a peer never learns of.
+TEST(Content, WhatAListLacksIsRemovedForPeersToo)
+{
+    Content source(dialect);
+    apply(source, { { "upstreams/a", "s", 2 } });
+    Content target(dialect);
+    target.applyEncoded(source.encode(0), now, reason);
+    source.retain({}, 8, now);
+    CHECK_TRUE(target.applyEncoded(source.encode(target.revision()), now, reason).has_value());
+    CHECK_TRUE(target.upstreams().find("a")->presence == discovery::Presence::Missing);
+}
+
+// Guards against bytes from elsewhere that end the process or change the content.
+TEST(Content, OtherBytesAreRefused)
+{
+    Content content(dialect);
+    for (const auto* bytes : { "", "x", "\x83\x01\x02", "\xff" }) {
+        CHECK_FALSE(content.applyEncoded(bytes, now, reason).has_value());
+        CHECK_TRUE(reason.text.starts_with("not a content message: "));
+    }
+}
--- /dev/null
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -0,0 +1,52 @@
+#include "papayabend/gateway/GatewaySettings.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace papayabend::gateway;
+
+TEST_GROUP(GatewaySettings)
+{
+    base::LastReason reason;
+
+    std::optional<GatewaySettings> parse(const std::string& more)
+    {
+        return parseGatewaySettings(R"({ // comment
+            "host": { "name": "h", "failureDomain": "d", "region": "r" },
+            "listen": { "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "entry": "127.0.0.1:3",
+                "peers": "127.0.0.1:4", "metrics": "127.0.0.1:5" },
+            "store": { "address": "127.0.0.1:6" })"
+                + more + "}",
+            "f.json", reason);
+    }
+
+    void checkRefused(const std::string& more, const std::string& expected)
+    {
+        CHECK_FALSE(parse(more).has_value());
+        STRCMP_EQUAL(expected.c_str(), reason.text.c_str());
+    }
+};
+
+// Guards against a setting that is read under another key than it is printed, and so lost.
+TEST(GatewaySettings, PrintedSettingsAreReadBackUnchanged)
+{
+    auto first = parse(R"(, "retryBudget": { "ratio": 0.3, "extra": 7, "windowSeconds": 5 },
+        "stop": { "graceSeconds": 3.5 }, "log": { "failuresPerSecond": 9 }, "peers": { "seeds": ["10.0.0.1:9"] })");
+    CHECK_TRUE(first.has_value());
+    DOUBLES_EQUAL(7, first->retryBudget.extra, 0);
+    LONGS_EQUAL(1, first->peers.seeds.size());
+    auto printed = toJson(*first);
+    auto second = parseGatewaySettings(printed, "f.json", reason);
+    CHECK_TRUE(second.has_value());
+    STRCMP_EQUAL(printed.c_str(), toJson(*second).c_str());
+}
+
+// Guards against errors from which the operator cannot tell which value to change.
+TEST(GatewaySettings, ErrorsNameTheKey)
+{
+    checkRefused(R"(, "stopp": {})", "f.json: stopp = {}: unknown key; the nearest known key is stop");
+    CHECK_FALSE(parse(R"(, "stop": { "graceSeconds": 0 })").has_value());
+    CHECK_TRUE(reason.text.starts_with("f.json: stop.graceSeconds"));
+    CHECK_FALSE(parseGatewaySettings("{}", "f.json", reason).has_value());
+    STRCMP_EQUAL("f.json: host: is required", reason.text.c_str());
+}
--- /dev/null
+++ b/Tests/gateway/HttpCallTest.cpp
@@ -0,0 +1,145 @@
+#include "papayabend/gateway/HttpCall.h"
+
+#include "gateway/LoopbackFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace papayabend::gateway;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+TEST_GROUP(HttpCall)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor { io, tcp::endpoint(asio::ip::address_v4::loopback(), 0) };
+    std::shared_ptr<HttpConnection> connection;
+    std::unique_ptr<tcp::socket> upstream;
+
+    void setup() override
+    {
+        connection = std::make_shared<HttpConnection>(io);
+        std::optional<std::string> problem;
+        connection->open(acceptor.local_endpoint(), [&](const std::string& text) { problem = text; });
+        upstream = std::make_unique<tcp::socket>(acceptor.accept());
+        while (!problem)
+            io.run_one();
+        STRCMP_EQUAL("", problem->c_str());
+    }
+
+    void teardown() override
+    {
+        connection->close("end of the test");
+        connection.reset();
+    }
+
+    // Sends a request with the id 7; the upstream answers with the text and may then end the connection.
+    CallResult call(const std::string& text, bool ends = false, bool isAnsweredFirst = false)
+    {
+        std::optional<CallResult> result;
+        if (isAnsweredFirst) {
+            asio::write(*upstream, asio::buffer(text));
+            io.run_for(5ms);
+        }
+        if (!connection->isIdle())
+            return {};
+        connection->send("GET / HTTP/1.1\r\n\r\n", "X-Id", "7", false, [&](CallResult it) { result = std::move(it); });
+        if (!isAnsweredFirst)
+            asio::write(*upstream, asio::buffer(text));
+        if (ends)
+            upstream->shutdown(tcp::socket::shutdown_both);
+        while (!result)
+            io.run_one();
+        return std::move(*result);
+    }
+};
+
+// Guards against a good answer that is refused, or a connection that is opened anew for each request.
+TEST(HttpCall, AnswersOnOneConnection)
+{
+    for (int n = 0; n < 3; ++n) {
+        auto result = call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+        CHECK_TRUE(result.end == CallEnd::Answered);
+        STRCMP_EQUAL("ok", result.answer.body().c_str());
+        CHECK_TRUE(connection->isIdle() && connection->isProven());
+    }
+}
+
+// Guards against the late answer to an earlier request that is given to the next client.
+TEST(HttpCall, AnswerToAnotherRequestIsSkipped)
+{
+    auto result = call("HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold"
+                       "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nnew");
+    STRCMP_EQUAL("new", result.answer.body().c_str());
+    CHECK_FALSE(connection->isOpen());
+}
+
+// Guards against bytes behind an answer that are taken for the answer to the next request.
+TEST(HttpCall, ExtraBytesEndTheConnection)
+{
+    auto result = call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+    STRCMP_EQUAL("ok", result.answer.body().c_str());
+    CHECK_FALSE(connection->isOpen());
+}
+
+// Guards against bytes on an idle connection that are taken for the answer to the next request.
+TEST(HttpCall, InputWithoutARequestEndsTheConnection)
+{
+    CHECK_TRUE(call("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, true).end == CallEnd::NotSent);
+    CHECK_FALSE(connection->isOpen());
+}
+
+// Guards against a cut answer that looks complete.
+TEST(HttpCall, CutAnswerIsLost)
+{
+    auto result = call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 20\r\n\r\ncut", true);
+    CHECK_TRUE(result.end == CallEnd::Lost);
+    CHECK_TRUE(result.hadAnswerBytes);
+}
+
+// Guards against an answer without a length that is refused although its end is the end of the connection.
+TEST(HttpCall, UnframedAnswerEndsWithTheConnection)
+{
+    auto result = call("HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nall of it", true);
+    CHECK_TRUE(result.end == CallEnd::Answered);
+    STRCMP_EQUAL("all of it", result.answer.body().c_str());
+    CHECK_FALSE(connection->isOpen());
+}
+
+// Guards against bytes that are not HTTP being passed on.
+TEST(HttpCall, GarbageIsReported)
+{
+    auto result = call("SSH-2.0-server\r\n\r\n");
+    CHECK_TRUE(result.end == CallEnd::Garbled);
+    CHECK_FALSE(connection->isOpen());
+}
+
+// Guards against interim answers that are taken for the final one.
+TEST(HttpCall, InterimAnswerIsSkipped)
+{
+    auto result = call("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+    STRCMP_EQUAL("ok", result.answer.body().c_str());
+    CHECK_TRUE(connection->isIdle());
+}
+
+// Guards against a request that is sent on a connection that its peer is about to close.
+TEST(HttpCall, StatedIdleTimeIsKept)
+{
+    auto before = base::BootClock::now();
+    call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nKeep-Alive: timeout=5, max=9\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(connection->idleUntil().has_value());
+    CHECK_TRUE(*connection->idleUntil() < before + 5s && *connection->idleUntil() > before + 4s);
+    call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    CHECK_FALSE(connection->isOpen());
+}
+
+// Guards against a closed connection that reports its request as not sent although it was.
+TEST(HttpCall, CloseInFlightIsLost)
+{
+    std::optional<CallResult> result;
+    connection->send("GET / HTTP/1.1\r\n\r\n", {}, {}, false, [&](CallResult it) { result = std::move(it); });
+    connection->close("the client has left");
+    CHECK_TRUE(result->end == CallEnd::Lost);
+    STRCMP_EQUAL("the client has left", result->reason.c_str());
+}
--- /dev/null
+++ b/Tests/gateway/HttpListenerTest.cpp
@@ -0,0 +1,146 @@
+#include "papayabend/gateway/HttpListener.h"
+
+#include "gateway/LoopbackFixture.h"
+#include "papayabend/gateway/Address.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace papayabend::gateway;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+TEST_GROUP(HttpListener)
+{
+    asio::io_context io;
+    std::string address;
+    std::unique_ptr<HttpListener> listener;
+    std::vector<std::string> bodies;
+    std::shared_ptr<ClientRequest> held;
+    bool holds { false };
+
+    void setup() override
+    {
+        listener = std::make_unique<HttpListener>(io, [this](const std::shared_ptr<ClientRequest>& request) {
+            bodies.push_back(std::string(request->message.target()) + ' ' + request->message.body());
+            if (holds) {
+                held = request;
+                return;
+            }
+            Answer answer;
+            answer.status = 200;
+            answer.body = request->message.body();
+            request->answer(answer);
+        });
+        listener->setLimits({ .headerBytes = 1024, .bodyBytes = 64, .headerTimeout = 200ms, .idleTimeout = 300ms });
+        do
+            address = freeAddress();
+        while (!listener->start(address));
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(io);
+        socket.connect(*tcpEndpoint(address));
+        return socket;
+    }
+
+    // Runs the loop until the listener has closed the connection; returns what it sent.
+    std::string readToEnd(tcp::socket & socket)
+    {
+        std::string text;
+        bool isDone = false;
+        asio::async_read(socket, asio::dynamic_buffer(text), [&](auto, auto) { isDone = true; });
+        while (!isDone)
+            io.run_one();
+        return text;
+    }
+
+    std::string exchange(const std::string& text)
+    {
+        auto socket = connect();
+        asio::write(socket, asio::buffer(text));
+        return readToEnd(socket);
+    }
+};
+
+// Guards against pipelined requests that are lost or answered out of order.
+TEST(HttpListener, PipelinedRequestsAreAnsweredInOrder)
+{
+    auto answer = exchange("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none"
+                           "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n"
+                           "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    LONGS_EQUAL(3, bodies.size());
+    STRCMP_EQUAL("/2 two", bodies[1].c_str());
+    CHECK_TRUE(answer.find("one") < answer.find("two"));
+    CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a second request that hides in the body of a first one.
+TEST(HttpListener, AmbiguousFramingIsRefused)
+{
+    auto answer = exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 400 "));
+    answer = exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!");
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 400 "));
+    CHECK_TRUE(bodies.empty());
+}
+
+// Guards against input without bound.
+TEST(HttpListener, LimitsHold)
+{
+    CHECK_TRUE(exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n").starts_with("HTTP/1.1 413 "));
+    CHECK_TRUE(exchange("GET /a HTTP/1.1\r\nX: " + std::string(2000, 'x')).starts_with("HTTP/1.1 431 "));
+    CHECK_TRUE(exchange("\x16\x03\x01 hello\r\n\r\n").starts_with("HTTP/1.1 400 "));
+}
+
+// Guards against connections that are held by clients that never finish a header.
+TEST(HttpListener, SlowHeaderEnds)
+{
+    CHECK_TRUE(exchange("GET /a HTTP/1.1\r\nHo").starts_with("HTTP/1.1 408 "));
+    CHECK_TRUE(exchange("").empty());
+}
+
+// Guards against clients that wait for the interim answer before they send their body.
+TEST(HttpListener, ExpectationIsAnswered)
+{
+    auto socket = connect();
+    asio::write(socket,
+        asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nConnection: close\r\n"
+                                 "Content-Length: 2\r\n\r\n")));
+    while (socket.available() == 0)
+        io.run_one_for(10ms);
+    asio::write(socket, asio::buffer(std::string("ok")));
+    auto answer = readToEnd(socket);
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK"));
+}
+
+// Guards against work that goes on after its client has left, and an answer to it that reaches another request.
+TEST(HttpListener, LeavingClientIsReported)
+{
+    holds = true;
+    bool hasLeft = false;
+    {
+        auto socket = connect();
+        asio::write(socket, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+        while (!held)
+            io.run_one();
+        held->onClientLeft = [&] { hasLeft = true; };
+        LONGS_EQUAL(1, listener->openRequests());
+    }
+    while (!hasLeft)
+        io.run_one();
+    LONGS_EQUAL(0, listener->openRequests());
+    held->answer({});
+    LONGS_EQUAL(0, listener->openConnections());
+}
+
+// Guards against a stopping host whose clients keep their connections.
+TEST(HttpListener, AnnouncedCloseEndsConnectionsAfterTheirAnswer)
+{
+    listener->announceClose();
+    auto answer = exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
+}
--- /dev/null
+++ b/Tests/platform/DecodeTest.cpp
@@ -0,0 +1,121 @@
+#include "platform/Decode.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto goodServer = R"({"service":"desk","address":"10.1.0.9:80","zone":"d1","version":"v1",
+    "max-concurrency":2,"state":"ready","warmup-left-ms":1500,"sequence":4,"born":1700000000000})";
+
+}
+
+TEST_GROUP(Decode)
+{
+    base::LastReason reason;
+
+    std::string refusalOf(const std::string& field, const std::string& value)
+    {
+        std::string text = goodServer;
+        auto at = text.find('"' + field + "\":") + field.size() + 3;
+        text.replace(at, text.find_first_of(",}", at) - at, value);
+        auto record = platform::parseUpstream("i-1", text, reason);
+        return record ? std::string() : reason.text;
+    }
+};
+
+// Guards against a field of a server's entry that is read under a wrong name.
+TEST(Decode, ServerEntry)
+{
+    auto record = platform::parseUpstream("i-1", goodServer, reason);
+    CHECK_TRUE(record.has_value());
+    STRCMP_EQUAL("i-1", record->id.c_str());
+    STRCMP_EQUAL("desk", record->service.c_str());
+    STRCMP_EQUAL("10.1.0.9:80", record->address.c_str());
+    STRCMP_EQUAL("d1", record->failureDomain.c_str());
+    LONGS_EQUAL(2, record->concurrency);
+    LONGS_EQUAL(4, record->sequence);
+    CHECK_TRUE(record->warmUpLeft == 1500ms);
+    CHECK_TRUE(record->startedAt == 1'700'000'000'000);
+    CHECK_FALSE(record->isDraining);
+}
+
+// Guards against an entry of another writer that names a server to use.
+TEST(Decode, ForgedServerEntriesAreRefused)
+{
+    for (auto [field, value] : std::initializer_list<std::pair<const char*, const char*>> { { "state", "\"up\"" },
+             { "state", "1" }, { "address", "\"nowhere\"" }, { "address", "null" }, { "service", "7" },
+             { "sequence", "\"4\"" }, { "sequence", "-4" }, { "born", "1.5" }, { "born", "\"x\"" },
+             { "max-concurrency", "\"2\"" }, { "zone", "[]" } })
+        CHECK_FALSE(refusalOf(field, value).empty());
+    for (const auto* text : { "", "null", "[]", "{}", "{\"service\":", "\xff\xfe" })
+        CHECK_FALSE(platform::parseUpstream("i-1", text, reason).has_value());
+}
+
+// Guards against an entry without a start time being refused: not every deployment states it.
+TEST(Decode, StartTimeMayBeAbsent)
+{
+    std::string text = goodServer;
+    text.erase(text.find(",\"born\""));
+    auto record = platform::parseUpstream("i-1", text + "}", reason);
+    CHECK_TRUE(record && !record->startedAt);
+}
+
+// Guards against a part of the configuration that is read under a wrong name.
+TEST(Decode, Configuration)
+{
+    auto value = platform::parseConfiguration(R"({"version":7,"routes":[
+        {"name":"all","host":"P.example","prefix":"/a/","type":"idempotent","timeout-ms":600,"target-latency-ms":100,
+         "priority":2,"gather":["s1","s2"],"max-attempts":2,"top-k":5,"min-shard-ratio":0.75},
+        {"name":"one","host":"p.example","prefix":"/b/","type":"non_idempotent","timeout-ms":6000,"service":"s3",
+         "max-attempts":3},
+        {"name":"split","host":"p.example","prefix":"/c/","type":"idempotent",
+         "traffic-split":[{"service":"s1","weight":7},{"service":"s2","weight":3}]}],
+        "services":[{"name":"s1","health-path":"/h","max-connections":26}],
+        "limits":{"max-header-bytes":1000,"max-body-bytes":2000,"header-timeout-ms":300,"idle-timeout-ms":400}})",
+        reason);
+    CHECK_TRUE(value.has_value());
+    LONGS_EQUAL(7, value->version);
+    const auto& all = value->routes[0];
+    STRCMP_EQUAL("p.example", all.host.c_str());
+    CHECK_TRUE(all.idempotent && all.isFanOut() && all.destinations.empty());
+    CHECK_TRUE(all.timeout == 600ms && all.latencyObjective == 100ms);
+    LONGS_EQUAL(2, all.priority);
+    LONGS_EQUAL(2, all.maxAttempts);
+    LONGS_EQUAL(5, all.maxRecords);
+    DOUBLES_EQUAL(0.75, all.minShardShare, 0);
+    CHECK_FALSE(value->routes[1].idempotent);
+    STRCMP_EQUAL("s3", value->routes[1].destinations.front().service.c_str());
+    DOUBLES_EQUAL(3, value->routes[2].destinations[1].weight, 0);
+    LONGS_EQUAL(26, value->maxConnections.at("s1"));
+    LONGS_EQUAL(1000, value->limits.headerBytes);
+    LONGS_EQUAL(2000, value->limits.bodyBytes);
+    CHECK_TRUE(value->limits.headerTimeout == 300ms && value->limits.idleTimeout == 400ms);
+}
+
+// Guards against a request that is repeated because the type of its route is not understood.
+TEST(Decode, UnknownTypeIsNotIdempotent)
+{
+    auto value = platform::parseConfiguration(
+        R"({"version":1,"routes":[{"host":"p","prefix":"/","type":"keyed","service":"s"}]})", reason);
+    CHECK_FALSE(value->routes.front().idempotent);
+    CHECK_FALSE(platform::parseConfiguration(R"({"version":1,"routes":[{"prefix":"/"}]})", reason).has_value());
+}
+
+// Guards against changes of the store that are lost or misread.
+TEST(Decode, ItemsAndEvents)
+{
+    auto page = platform::parsePage(
+        R"({"items":[{"key":"k","value":"aGk=","revision":4,"created-rev":2,"lease":0}],"has-more":true,"as-of":9})",
+        reason);
+    CHECK_TRUE(page && page->hasMore);
+    LONGS_EQUAL(9, page->asOf);
+    STRCMP_EQUAL("hi", page->items.front().value.c_str());
+    LONGS_EQUAL(4, page->items.front().revision);
+    auto events = platform::parseEvents(R"({"events":[{"key":"k","revision":5,"tombstone":true}],"as-of":5})", reason);
+    CHECK_TRUE(events && events->items.front().isRemoved);
+    CHECK_FALSE(platform::parsePage("<html>", reason).has_value());
+    CHECK_FALSE(platform::parsePage(R"({"items":[{"key":"k"}],"as-of":1})", reason).has_value());
+}
