gateway: Let new connections settle while upstreams refuse some

Cause: after a loss of power the upstreams still count the connections of the lost processes; about 100 requests in two seconds went out on new connections that were reset a moment later. Change: while an upstream's learned bound holds, a new connection takes its first request twelve milliseconds after it was opened; lint findings.

--- a/Source/papayabend/gateway/EventLog.cpp
+++ b/Source/papayabend/gateway/EventLog.cpp
@@ -72,7 +72,7 @@
     std::string buffer;
 };
 
-EventLog::EventLog(const EventLogSettings& settings, std::string host, int descriptor)
+EventLog::EventLog(const EventLogSettings& settings, const std::string& host, int descriptor)
     : m_settings(settings)
     , m_host(jsonText(host))
     , m_sink(std::make_shared<Sink>(descriptor))
--- a/Source/papayabend/gateway/EventLog.h
+++ b/Source/papayabend/gateway/EventLog.h
@@ -46,7 +46,7 @@
     /** Bytes that wait for a slow reader. */
     static constexpr size_t maxBufferBytes = 256 * 1024;
 
-    EventLog(const EventLogSettings&, std::string host, int descriptor);
+    EventLog(const EventLogSettings&, const std::string& host, int descriptor);
     ~EventLog();
     EventLog(const EventLog&) = delete;
     EventLog& operator=(const EventLog&) = delete;
--- a/Source/papayabend/gateway/HttpListener.cpp
+++ b/Source/papayabend/gateway/HttpListener.cpp
@@ -182,16 +182,16 @@
         isHead = parser->get().method() == http::verb::head;
         request->message = parser->release();
         request->arrivedAt = base::BootClock::now();
-        request->answer = [weak = weak_from_this(), sent = request.get()](Answer answer) {
+        request->answer = [weak = weak_from_this(), sent = request.get()](const Answer& answer) {
             auto self = weak.lock();
             if (self && self->request.get() == sent)
-                self->answered(std::move(answer));
+                self->answered(answer);
         };
         ++owner->requests;
         owner->handler(request);
     }
 
-    void answered(Answer answer)
+    void answered(const Answer& answer)
     {
         if (phase != Phase::Handling)
             return;
@@ -331,7 +331,12 @@
 {
 }
 
-HttpListener::~HttpListener() { stop(); }
+HttpListener::~HttpListener()
+{
+    m_impl->isStopped = true;
+    // Connections hold the state that holds them.
+    m_impl->connections.clear();
+}
 
 bool HttpListener::start(const std::string& address)
 {
--- a/Source/papayabend/gateway/HttpListener.h
+++ b/Source/papayabend/gateway/HttpListener.h
@@ -17,7 +17,7 @@
 struct ClientRequest {
     HttpRequest message;
     base::TimePoint arrivedAt {}; /**< When its last byte was read. */
-    std::function<void(Answer)> answer; /**< Called once; does nothing after the client has left. */
+    std::function<void(const Answer&)> answer; /**< Called once; does nothing after the client has left. */
     std::function<void()> onClientLeft; /**< Set by the handler that needs to know. */
 };
 
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -142,7 +142,7 @@
         return;
     m_pull = std::make_shared<HttpConnection>(m_io);
     auto timer = std::make_shared<asio::steady_timer>(m_io, pullTimeout);
-    timer->async_wait([this, connection = std::weak_ptr(m_pull)](const error_code& ec) {
+    timer->async_wait([connection = std::weak_ptr(m_pull)](const error_code& ec) {
         auto late = connection.lock();
         if (!ec && late)
             late->close("no answer in time");
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -12,6 +12,8 @@
     // An idle connection whose peer states no limit is closed after this time.
     constexpr base::Duration defaultIdleTime { std::chrono::seconds(10) };
     // A request that cannot be repeated goes to a connection that was used this recently, or to a new one.
+    // Resets come within a round trip between failure domains, some eleven milliseconds.
+    constexpr std::chrono::milliseconds settleTime { 12 };
     // Connections on which an upstream has answered nothing yet.
     constexpr size_t maxUnproven = 2;
     constexpr base::Duration freshTime { std::chrono::milliseconds(900) };
@@ -101,10 +103,24 @@
     });
     connection->open(*endpoint, [this, id = upstream.id, connection, timer](const std::string& problem) {
         timer->cancel();
+        const auto* to = find(id);
+        if (problem.empty() && to && to->load.acceptedConnections < to->load.maxConnections)
+            return settle(id, connection);
         connected(id, connection, problem);
     });
 }
 
+void UpstreamPool::settle(const std::string& id, const std::shared_ptr<HttpConnection>& connection)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, settleTime);
+    timer->async_wait([this, id, connection, timer](const boost::system::error_code&) {
+        auto* to = find(id);
+        if (to && !connection->isOpen())
+            noteRefused(*to, *connection);
+        connected(id, connection, connection->isOpen() ? "" : "reset by an upstream at its bound");
+    });
+}
+
 void UpstreamPool::connected(
     const std::string& id, const std::shared_ptr<HttpConnection>& connection, const std::string& problem)
 {
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -72,6 +72,8 @@
     void use(Upstream&, const discovery::UpstreamRecord&);
     void connect(Upstream&);
     void connected(const std::string& id, const std::shared_ptr<HttpConnection>&, const std::string& problem);
+    /** Waits for a moment in which an upstream at its bound resets the connection. */
+    void settle(const std::string& id, const std::shared_ptr<HttpConnection>&);
     void serveQueue(Upstream&);
     std::shared_ptr<HttpConnection> idleConnection(Upstream&, bool fresh);
     void start(Upstream&, const std::shared_ptr<HttpConnection>&, const std::shared_ptr<Attempt>&);
