dispatch: Bound fan-outs by the time of half of the shards

Ruled out: upstream failures (srv_grey hits one service), the retry budget. Change: LoadGate bounds the fan-outs of a host by AIMD on the time in which half of the shards answer; refused at once with Retry-After; no hedges while overloaded.

--- /dev/null
+++ b/Source/papayabend/dispatch/LoadGate.cpp
@@ -0,0 +1,58 @@
+#include "papayabend/dispatch/LoadGate.h"
+
+#include <algorithm>
+
+namespace papayabend::dispatch {
+
+namespace {
+
+    constexpr double sampleWeight = 0.2;
+    constexpr double cutFactor = 0.8;
+    constexpr double minLimit = 1;
+    // A cut shows after the fan-outs that were running at its time have ended.
+    constexpr base::Duration cutInterval { std::chrono::milliseconds(100) };
+
+}
+
+bool LoadGate::tryEnter(std::string_view shards)
+{
+    auto& state = m_states[std::string(shards)];
+    if (state.running >= state.limit)
+        return false;
+    ++state.running;
+    return true;
+}
+
+void LoadGate::leave(std::string_view shards)
+{
+    auto& state = m_states[std::string(shards)];
+    if (state.running > 0)
+        --state.running;
+}
+
+void LoadGate::observe(std::string_view shards, double time, base::TimePoint now)
+{
+    auto& state = m_states[std::string(shards)];
+    state.time += sampleWeight * (std::min(time, 2.0) - state.time);
+    if (state.time > highTime && now - state.cutAt >= cutInterval) {
+        auto used = std::min(state.limit, static_cast<double>(state.running) + 1);
+        state.limit = std::max(minLimit, cutFactor * used);
+        state.cutAt = now;
+    } else if (state.time < lowTime) {
+        state.limit = std::min(maxLimit, state.limit + 1 / state.limit);
+    }
+}
+
+bool LoadGate::isOverloaded(std::string_view shards) const
+{
+    auto it = m_states.find(std::string(shards));
+    return it != m_states.end() && it->second.time > highTime;
+}
+
+double LoadGate::limit(std::string_view shards) const
+{
+    auto it = m_states.find(std::string(shards));
+    return it == m_states.end() ? maxLimit : it->second.limit;
+}
+
+}
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -74,6 +74,11 @@
     }
     if (!isServable())
         return refuse(503, "no_upstream", "too few shards have an upstream", minRetryAfter + retryAfterSpread);
+    if (isFanOut()) {
+        if (!m_state.gate.tryEnter(m_route->shards.front()))
+            return refuse(503, "overload", "the shards have more requests than they can run", minRetryAfter);
+        m_isGated = true;
+    }
     m_client->onClientLeft = [weak = weak_from_this()] {
         if (auto self = weak.lock())
             self->clientLeft();
@@ -374,6 +379,7 @@
         return static_cast<uint32_t>(
             std::ranges::count_if(m_legs, [phase](const auto& it) { return it.phase == phase; }));
     };
+    observeHalf(count(LegPhase::Answered), now);
     dispatch::GatherState gather { static_cast<uint32_t>(m_legs.size()), count(LegPhase::Answered),
         count(LegPhase::Failed) };
     switch (dispatch::decideGather(gather, m_route->minShardShare, { m_objectiveAt, m_limitAt }, now)) {
@@ -392,6 +398,25 @@
     finish(plainAnswer(502, "too few shards can answer"), "too_few_shards");
 }
 
+void Exchange::observeHalf(uint32_t answered, base::TimePoint now)
+{
+    auto objective = m_objectiveAt - m_arrivedAt;
+    auto isOutOfReach = m_isFinished || now - m_arrivedAt >= 2 * objective;
+    if (m_hasHalf || (2 * answered < m_legs.size() && !isOutOfReach))
+        return;
+    m_hasHalf = true;
+    auto time = std::chrono::duration<double>(now - m_arrivedAt) / std::chrono::duration<double>(objective);
+    m_state.gate.observe(m_route->shards.front(), time, now);
+}
+
+void Exchange::leaveGate()
+{
+    if (!m_isGated)
+        return;
+    m_isGated = false;
+    m_state.gate.leave(m_route->shards.front());
+}
+
 void Exchange::answerMerged()
 {
     std::vector<std::string_view> parts;
@@ -436,7 +461,9 @@
                 failLeg(leg, leg.lastReason);
         }
         replaceWaiting(leg, now);
-        if (now >= leg.noExtraUntil && dispatch::isHedgeDue(policy(), leg.history, now) && !tryAttempt(leg, "late"))
+        auto mayHedge = !isFanOut() || !m_state.gate.isOverloaded(m_route->shards.front());
+        if (mayHedge && now >= leg.noExtraUntil && dispatch::isHedgeDue(policy(), leg.history, now)
+            && !tryAttempt(leg, "late"))
             leg.noExtraUntil = now + noExtraPause;
     }
     m_isStarting = false;
@@ -453,12 +480,13 @@
     if (isFanOut() && m_objectiveAt > now)
         due = std::min(due, m_objectiveAt);
     auto hedging = policy();
+    auto isOverloaded = isFanOut() && m_state.gate.isOverloaded(m_route->shards.front());
     for (const auto& leg : m_legs) {
         if (leg.phase != LegPhase::Open)
             continue;
         if (leg.retryAt)
             due = std::min(due, *leg.retryAt);
-        auto mayHedge = hedging.isIdempotent && leg.history.inFlight == 1 && leg.history.sent > 0
+        auto mayHedge = hedging.isIdempotent && !isOverloaded && leg.history.inFlight == 1 && leg.history.sent > 0
             && dispatch::mayRepeat(hedging, leg.history) && usableUpstreams(leg.service) > leg.tried.size();
         if (mayHedge)
             due = std::min(due, std::max(leg.history.lastSentAt + m_hedgeDelay, leg.noExtraUntil));
@@ -511,6 +539,7 @@
         return;
     m_isFinished = true;
     m_finishedAt = base::BootClock::now();
+    leaveGate();
     logEnd(answer.status, outcome);
     m_client->onClientLeft = nullptr;
     m_client->answer(std::move(answer));
@@ -531,6 +560,7 @@
     m_isFinished = true;
     m_hasLeft = true;
     m_finishedAt = base::BootClock::now();
+    leaveGate();
     logEnd(0, "client_left");
     for (auto& leg : m_legs) {
         auto attempts = leg.attempts;
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -71,6 +71,9 @@
     void arm();
     void onTimer();
     void answerMerged();
+    /** Tells the gate how long half of the shards took, once it is known or out of reach. */
+    void observeHalf(uint32_t answered, base::TimePoint now);
+    void leaveGate();
     void finish(Answer, const char* outcome);
     void refuse(unsigned status, const char* outcome, const std::string& reason, base::Duration retryAfter);
     void clientLeft();
@@ -98,6 +101,8 @@
     boost::asio::steady_timer m_timer;
     std::optional<base::TimePoint> m_armedFor;
     base::TimePoint m_finishedAt {};
+    bool m_isGated { false }; /**< Counts against the bound of its shards. */
+    bool m_hasHalf { false }; /**< Half of the shards have answered. */
     bool m_isFinished { false };
     bool m_isStarting { false };
     bool m_hasLeft { false };
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -63,7 +63,7 @@
     const Dialect& dialect, uint64_t seed)
     : m_log(settings.log, settings.host.name, STDOUT_FILENO)
     , m_state { io, dialect, settings, m_log, m_metrics, fleet::FleetView(beatOf(settings)), Content(dialect),
-        UpstreamPool(io, dialect.headers.requestId), dispatch::RetryBudget(base::BootClock::now()), {}, {}, {},
+        UpstreamPool(io, dialect.headers.requestId), dispatch::RetryBudget(base::BootClock::now()), {}, {}, {}, {},
         base::Random(seed) }
     , m_settingsFile(std::move(settingsFile))
     , m_settingsText(textOf(m_settingsFile))
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -3,6 +3,7 @@
 #include "papayabend/base/Random.h"
 #include "papayabend/dispatch/CrashSuspects.h"
 #include "papayabend/dispatch/LatencyEstimate.h"
+#include "papayabend/dispatch/LoadGate.h"
 #include "papayabend/dispatch/RetryBudget.h"
 #include "papayabend/fleet/FleetView.h"
 #include "papayabend/gateway/Content.h"
@@ -32,6 +33,7 @@
     UpstreamPool pool;
     dispatch::RetryBudget budget;
     dispatch::CrashSuspects suspects;
+    dispatch::LoadGate gate;
     routes::SplitChoice split;
     std::unordered_map<std::string, dispatch::LatencyEstimate> latency; /**< By route name. */
     base::Random random;
