--- a/Source/papayabend/cli/Command.h
+++ b/Source/papayabend/cli/Command.h
@@ -36,6 +36,8 @@
 std::vector<Command> callerCommands();
 /** Commands that check a file. */
 std::vector<Command> checkCommands();
+/** Commands that read log files. */
+std::vector<Command> logCommands();
 
 /** Parses the arguments of \a command and runs it. Prints help on request. */
 int run(const Command& command, std::span<const std::string> arguments);
--- /dev/null
+++ b/Source/papayabend/cli/Explain.cpp
@@ -0,0 +1,88 @@
+#include "papayabend/cli/Explain.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace papayabend::cli {
+
+namespace {
+
+    using Json = nlohmann::ordered_json;
+
+    /** Newest lines of a host about what it believes. */
+    struct Beliefs {
+        std::map<std::string, Json> states; /**< By event, and by dependency for lost and regained ones. */
+        std::map<std::string, Json> upstreams; /**< By id. */
+    };
+
+    constexpr std::array<std::string_view, 7> stateEvents { "configuration", "ready", "reader", "paused", "stop",
+        "reload", "fleet" };
+
+    std::string textOf(const Json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+    std::string fieldsOf(const Json& line)
+    {
+        std::string text;
+        for (const auto& [key, value] : line.items()) {
+            if (key != "time" && key != "host" && key != "event")
+                text += ' ' + key + '=' + textOf(value);
+        }
+        return text;
+    }
+
+    std::string ageOf(const Json& line, const Json& request)
+    {
+        return std::to_string(request.value("time", int64_t { 0 }) - line.value("time", int64_t { 0 })) + " ms before";
+    }
+
+    void learn(Beliefs& beliefs, const Json& line)
+    {
+        auto event = line.value("event", "");
+        if (event == "start")
+            beliefs = {};
+        if (event == "upstream")
+            beliefs.upstreams[line.value("upstream", "")] = line;
+        else if (event == "lost" || event == "regained")
+            beliefs.states["dependency " + line.value("dependency", "")] = line;
+        else if (std::ranges::find(stateEvents, event) != stateEvents.end())
+            beliefs.states[event] = line;
+    }
+
+    void explain(const Json& request, const Beliefs& beliefs, std::vector<std::string>& lines)
+    {
+        lines.push_back("host " + request.value("host", "") + ", time " + textOf(request["time"]));
+        for (const auto& [name, line] : beliefs.states)
+            lines.push_back("  " + ageOf(line, request) + ": " + line.value("event", "") + fieldsOf(line));
+        auto legs = request.value("legs", "");
+        for (const auto& [id, line] : beliefs.upstreams) {
+            if (legs.find(id) != std::string::npos)
+                lines.push_back("  " + ageOf(line, request) + ": upstream" + fieldsOf(line));
+        }
+        lines.push_back("  request" + fieldsOf(request));
+    }
+
+}
+
+std::vector<std::string> explainRequest(std::istream& logs, std::string_view id)
+{
+    std::map<std::string, Beliefs> hosts;
+    std::vector<std::string> lines;
+    std::string text;
+    while (std::getline(logs, text)) {
+        // Collectors may put a time or a host in front of the line.
+        auto begin = text.find('{');
+        auto line = begin == std::string::npos ? Json() : Json::parse(text.substr(begin), nullptr, false);
+        if (!line.is_object() || !line.contains("event") || !line.contains("host"))
+            continue;
+        auto& beliefs = hosts[line.value("host", "")];
+        if (line["event"] == "request" && line.value("id", "") == id)
+            explain(line, beliefs, lines);
+        else
+            learn(beliefs, line);
+    }
+    return lines;
+}
+
+}
--- a/Source/papayabend/cli/Main.cpp
+++ b/Source/papayabend/cli/Main.cpp
@@ -12,6 +12,7 @@
 std::vector<cli::Command> allCommands()
 {
     auto all = cli::checkCommands();
+    std::ranges::move(cli::logCommands(), std::back_inserter(all));
     std::ranges::move(cli::queryCommands(), std::back_inserter(all));
     std::ranges::move(cli::callerCommands(), std::back_inserter(all));
     all.push_back({ "version", "version of this program", [](cli::options::options_description&) {},
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -177,7 +177,8 @@
         return false;
     if (leg.history.sent > 0) {
         auto hosts = 1 + m_state.fleet.members().size();
-        if (!m_state.budget.tryTake(leg.service, budgetOf(m_state.settings.retryBudget), hosts, now))
+        leg.lacksBudget = !m_state.budget.tryTake(leg.service, budgetOf(m_state.settings.retryBudget), hosts, now);
+        if (leg.lacksBudget)
             return false;
         m_state.metrics.extraAttempt(cause);
     }
@@ -526,6 +527,7 @@
 
 void Exchange::refuse(unsigned status, const char* outcome, const std::string& reason, base::Duration retryAfter)
 {
+    m_reason = reason;
     auto answer = plainAnswer(status, reason);
     auto spread = base::uniform(m_state.random) * static_cast<double>(retryAfterSpread.count());
     auto seconds = std::chrono::duration<double>(retryAfter).count() + spread / 1e6;
@@ -603,25 +605,34 @@
             .add("configurationAgeMs", milliseconds(now - m_state.content.configurationSince()));
     if (m_route)
         fields.add("route", m_route->name).add("leftMs", milliseconds(m_limitAt - now));
-    std::string attempts;
+    fields.add("revision", static_cast<int64_t>(m_state.content.revision()));
+    fields.add("contentAgeMs", milliseconds(now - std::min(now, m_state.contentConfirmedAt)));
+    if (!m_reason.empty())
+        fields.add("reason", m_reason);
+    fields.add("legs", describeLegs());
+    m_state.log.write(kind, "request", fields, now);
+}
+
+std::string Exchange::describeLegs() const
+{
+    std::string text;
     for (const auto& leg : m_legs) {
-        auto isPlain = leg.phase == LegPhase::Answered && leg.history.sent == 1;
-        if (isPlain && m_legs.size() > 1)
+        // Shards that answered at the first attempt would fill the line.
+        if (leg.phase == LegPhase::Answered && leg.history.sent == 1 && m_legs.size() > 1)
             continue;
-        attempts += attempts.empty() ? "" : "; ";
-        attempts += leg.service
-            + (leg.phase == LegPhase::Answered      ? " answered"
-                    : leg.phase == LegPhase::Failed ? " failed"
-                                                    : " open");
-        attempts += " after " + std::to_string(leg.history.sent) + " sent, "
+        text += text.empty() ? "" : "; ";
+        text += leg.service;
+        text += leg.phase == LegPhase::Answered ? " answered" : leg.phase == LegPhase::Failed ? " failed" : " open";
+        text += " after " + std::to_string(leg.history.sent) + " sent, "
             + std::to_string(leg.history.provenNotRun + leg.history.unsent) + " not run";
         for (const auto& id : leg.tried)
-            attempts += " " + id;
+            text += ' ' + id;
         if (!leg.lastReason.empty())
-            attempts += " (" + leg.lastReason + ")";
+            text += " (" + leg.lastReason + ')';
+        if (leg.lacksBudget)
+            text += " [no retry budget]";
     }
-    fields.add("legs", attempts);
-    m_state.log.write(kind, "request", fields, now);
+    return text;
 }
 
 }
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -46,6 +46,7 @@
         std::optional<base::TimePoint> retryAt;
         base::TimePoint noExtraUntil {}; /**< No budget or no upstream was there for a second attempt. */
         std::string lastReason;
+        bool lacksBudget { false }; /**< The last try for a second attempt found no retry budget. */
     };
 
     void start();
@@ -79,6 +80,7 @@
     void clientLeft();
     void cutAttempts(const char* reason);
     void logEnd(unsigned status, const char* outcome);
+    std::string describeLegs() const;
     dispatch::LegPolicy policy() const;
     base::Duration waitingLimit() const;
     bool isFanOut() const { return m_route && m_route->isFanOut(); }
@@ -101,6 +103,7 @@
     boost::asio::steady_timer m_timer;
     std::optional<base::TimePoint> m_armedFor;
     base::TimePoint m_finishedAt {};
+    std::string m_reason; /**< Why the request was refused. */
     bool m_isGated { false }; /**< Counts against the bound of its shards. */
     bool m_hasHalf { false }; /**< Half of the shards have answered. */
     bool m_isFinished { false };
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -64,7 +64,7 @@
     : m_log(settings.log, settings.host.name, STDOUT_FILENO)
     , m_state { io, dialect, settings, m_log, m_metrics, fleet::FleetView(beatOf(settings)), Content(dialect),
         UpstreamPool(io, dialect.headers.requestId), dispatch::RetryBudget(base::BootClock::now()), {}, {}, {}, {},
-        base::Random(seed) }
+        base::Random(seed), {} }
     , m_settingsFile(std::move(settingsFile))
     , m_settingsText(textOf(m_settingsFile))
     , m_store(io, dialect, settings.store.address, seed + 1, storeEvents())
@@ -312,6 +312,8 @@
 {
     auto now = base::BootClock::now();
     auto before = m_state.fleet.members().size();
+    if (!message.beats.empty() && message.beats.front().contentRevision <= m_state.content.revision())
+        m_state.contentConfirmedAt = now;
     for (const auto& beat : message.beats) {
         auto known = m_state.fleet.members().find(beat.name);
         auto isStart = known == m_state.fleet.members().end() || known->second.beat.incarnation < beat.incarnation;
@@ -413,6 +415,7 @@
         note("lost", LogFields().add("dependency", "host").add("name", name));
     if (m_state.fleet.members().size() != before)
         refreshUpstreams();
+    m_state.contentConfirmedAt = std::max(m_state.contentConfirmedAt, m_store.answeredAt());
     m_state.pool.sweep(now);
     updateReader(now);
     pullIfBehind(now);
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -37,6 +37,8 @@
     routes::SplitChoice split;
     std::unordered_map<std::string, dispatch::LatencyEstimate> latency; /**< By route name. */
     base::Random random;
+    /** When the store, or a host that reads it, last showed that the content is current. */
+    base::TimePoint contentConfirmedAt {};
 };
 
 }
