--- a/Source/papayabend/discovery/UpstreamDirectory.cpp
+++ b/Source/papayabend/discovery/UpstreamDirectory.cpp
@@ -4,6 +4,16 @@
 
 namespace papayabend::discovery {
 
+namespace {
+
+    bool isSameState(const UpstreamRecord& a, const UpstreamRecord& b)
+    {
+        return a.service == b.service && a.address == b.address && a.isDraining == b.isDraining
+            && a.startedAt == b.startedAt && a.concurrency == b.concurrency && a.failureDomain == b.failureDomain;
+    }
+
+}
+
 bool isOlder(const UpstreamRecord& next, const UpstreamRecord& known)
 {
     if (!next.startedAt || !known.startedAt)
@@ -22,7 +32,7 @@
     if (!record)
         return remove(id, revision, now);
     if (it == m_entries.end()) {
-        m_entries.emplace(id, UpstreamEntry { *record, revision, Presence::Listed, now });
+        m_entries.emplace(id, UpstreamEntry { *record, revision, Presence::Listed, now, now });
         m_byService[record->service].insert(std::string(id));
         return true;
     }
@@ -34,10 +44,13 @@
         m_byService[entry.record.service].erase(entry.record.id);
         m_byService[record->service].insert(record->id);
     }
+    auto isChange = entry.presence != Presence::Listed || !isSameState(*record, entry.record);
     entry.record = *record;
     entry.presence = Presence::Listed;
-    entry.changedAt = now;
-    return true;
+    entry.reportedAt = now;
+    if (isChange)
+        entry.changedAt = now;
+    return isChange;
 }
 
 bool UpstreamDirectory::remove(std::string_view id, uint64_t revision, base::TimePoint now)
--- a/Source/papayabend/discovery/UpstreamDirectory.h
+++ b/Source/papayabend/discovery/UpstreamDirectory.h
@@ -44,7 +44,8 @@
     UpstreamRecord record;
     uint64_t revision { 0 };
     Presence presence { Presence::Listed };
-    base::TimePoint changedAt {};
+    base::TimePoint changedAt {}; /**< Of state, address, start or presence. */
+    base::TimePoint reportedAt {}; /**< Arrival of the record. */
 };
 
 /** \class UpstreamDirectory
@@ -58,7 +59,8 @@
     /** Time for which the revision of a removed entry is kept, so that no late copy from a peer revives it. */
     static constexpr base::Duration removedTime { std::chrono::seconds(60) };
 
-    /** Takes a written entry; \a record is empty if its value cannot be used. Returns whether anything changed. */
+    /** Takes a written entry; \a record is empty if its value cannot be used. Returns whether the upstream changed; a
+     * new time left to warm up alone is no change. */
     bool apply(
         std::string_view id, uint64_t revision, const std::optional<UpstreamRecord>& record, base::TimePoint now);
 
--- a/Source/papayabend/dispatch/ChooseUpstream.cpp
+++ b/Source/papayabend/dispatch/ChooseUpstream.cpp
@@ -98,7 +98,7 @@
     auto time = typical * slownessAt(load, inputs.now) * (1 + inFlightShare * inFlight);
     if (candidate.isRemote)
         time *= remoteFactor;
-    if (candidate.entry->record.warmUpLeft > inputs.now - candidate.entry->changedAt)
+    if (candidate.entry->record.warmUpLeft > inputs.now - candidate.entry->reportedAt)
         time *= warmUpFactor;
     if (load.idleConnections == 0)
         time += static_cast<double>(connectTime.count());
--- a/Source/papayabend/gateway/Content.cpp
+++ b/Source/papayabend/gateway/Content.cpp
@@ -76,8 +76,32 @@
     return m_upstreams.retain(ids, asOf, now);
 }
 
+bool Content::expire(base::TimePoint now)
+{
+    forgetRemoved();
+    return m_upstreams.expire(now);
+}
+
+void Content::forgetRemoved()
+{
+    std::vector<uint64_t> removed;
+    for (const auto& [key, item] : m_items) {
+        if (item.isRemoved)
+            removed.push_back(item.revision);
+    }
+    if (removed.size() <= maxRemoved)
+        return;
+    // Half of them, so that this is seldom.
+    std::ranges::nth_element(removed, removed.begin() + maxRemoved / 2);
+    m_forgottenRevision = removed[maxRemoved / 2];
+    std::erase_if(
+        m_items, [this](const auto& it) { return it.second.isRemoved && it.second.revision <= m_forgottenRevision; });
+}
+
 std::string Content::encode(uint64_t after) const
 {
+    if (after < m_forgottenRevision)
+        after = 0;
     auto items = json::array();
     for (const auto& [key, item] : m_items) {
         if (item.revision > after)
@@ -104,7 +128,14 @@
             items.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<uint64_t>(),
                 item.at(3).get<bool>() });
         auto change = apply(items, now);
-        m_hasList = true;
+        if (after == 0) {
+            std::set<std::string> keys;
+            for (const auto& item : items) {
+                if (!item.isRemoved)
+                    keys.insert(item.key);
+            }
+            retain(keys, revision, now);
+        }
         setComplete(revision);
         return change;
     } catch (const json::exception& error) {
--- a/Source/papayabend/gateway/Content.h
+++ b/Source/papayabend/gateway/Content.h
@@ -42,7 +42,7 @@
     void setComplete(uint64_t revision) { m_revision = std::max(m_revision, revision); }
     /** Marks upstreams as missing that a full list did not contain. Returns whether any changed. */
     bool retain(const std::set<std::string>& keys, uint64_t asOf, base::TimePoint now);
-    bool expire(base::TimePoint now) { return m_upstreams.expire(now); }
+    bool expire(base::TimePoint now);
 
     /** The configuration in force; nullptr before the first one. */
     const std::shared_ptr<const routes::Configuration>& configuration() const { return m_configuration; }
@@ -52,13 +52,18 @@
     /** Revision up to which all changes have been taken. */
     uint64_t revision() const { return m_revision; }
 
-    /** The items that changed after revision  after, as CBOR, for another host. */
+    /** Removed items whose revisions are kept for other hosts. */
+    static constexpr size_t maxRemoved = 2048;
+
+    /** The items that changed after revision \a after, as CBOR, for another host; all items if removals since then have
+     * been forgotten. */
     std::string encode(uint64_t after) const;
     /** Takes the result of encode() of another host. Items are refused if this host lacks what came before them. */
     std::optional<ContentChange> applyEncoded(std::string_view bytes, base::TimePoint now, base::LastReason& reason);
 
 private:
     void applyConfiguration(const StoreItem&, base::TimePoint now, ContentChange&);
+    void forgetRemoved();
     void applyUpstream(const StoreItem&, base::TimePoint now, ContentChange&);
 
     const Dialect& m_dialect;
@@ -67,6 +72,7 @@
     discovery::UpstreamDirectory m_upstreams;
     std::map<std::string, StoreItem, std::less<>> m_items;
     uint64_t m_revision { 0 };
+    uint64_t m_forgottenRevision { 0 }; /**< Newest removal that is no longer kept. */
     bool m_hasList { false };
 };
 
--- a/Tests/discovery/UpstreamDirectoryTest.cpp
+++ b/Tests/discovery/UpstreamDirectoryTest.cpp
@@ -86,3 +86,17 @@
     CHECK_TRUE(directory.retain({}, 10, now));
     CHECK_TRUE(presence() == Presence::Missing);
 }
+
+// Guards against log lines and time for draining upstreams that each report of the time left to warm up renews.
+TEST(UpstreamDirectory, WarmUpReportIsNoChange)
+{
+    auto draining = record(5);
+    draining.isDraining = true;
+    directory.apply("u1", 10, draining, now);
+    draining.sequence = 6;
+    draining.warmUpLeft = 700ms;
+    CHECK_FALSE(directory.apply("u1", 11, draining, now + 1s));
+    CHECK_TRUE(directory.find("u1")->changedAt == now);
+    CHECK_TRUE(directory.find("u1")->reportedAt == now + 1s);
+    CHECK_TRUE(directory.find("u1")->record.warmUpLeft == 700ms);
+}
--- a/Tests/gateway/ContentTest.cpp
+++ b/Tests/gateway/ContentTest.cpp
@@ -122,3 +122,21 @@
         CHECK_TRUE(reason.text.starts_with("not a content message: "));
     }
 }
+
+// Guards against a host that grows with each upstream that ever was, and against peers that miss a forgotten removal.
+TEST(Content, RemovedItemsAreBounded)
+{
+    Content source(dialect);
+    apply(source, { { "upstreams/a", "s", 1 } });
+    Content target(dialect);
+    target.applyEncoded(source.encode(0), now, reason);
+    apply(source, { { "upstreams/a", "", 2, true } });
+    for (uint64_t n = 0; n < 3 * Content::maxRemoved; ++n) {
+        apply(source, { { "upstreams/n" + std::to_string(n), "", 3 + n, true } });
+        source.expire(now);
+    }
+    CHECK_TRUE(source.encode(0).size() < Content::maxRemoved * 40);
+    CHECK_TRUE(target.applyEncoded(source.encode(target.revision()), now, reason).has_value());
+    CHECK_TRUE(target.upstreams().find("a")->presence == discovery::Presence::Missing);
+    LONGS_EQUAL(source.revision(), target.revision());
+}
