gateway: Refresh the view after a pause before taking requests

Change: a gap of a second is noticed at the next tick or request; requests get a true refusal until a host or the store has answered, at most half a second; pulls choose at random among the hosts that are ahead.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -107,6 +107,10 @@
     m_target = toView(message.target());
     m_host = routes::canonicalHost(toView(message[http::field::host]));
     m_id = toView(message[toBeast(names.requestId)]);
+    if (m_state.isStale) {
+        refuse(503, "stale_view", "the process was paused and refreshes its view", startRetryAfter);
+        return false;
+    }
     if (!m_configuration) {
         refuse(503, "not_ready", "no configuration is known yet", startRetryAfter);
         return false;
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -27,6 +27,8 @@
     constexpr base::Duration readerDelay { std::chrono::milliseconds(60) };
     // Time for which other hosts are preferred as readers after the store has failed this one.
     constexpr base::Duration turnedAwayTime { std::chrono::seconds(6) };
+    // Without an answer to a pull within this time after a pause, no other host can be reached either.
+    constexpr base::Duration refreshTime { std::chrono::milliseconds(500) };
     constexpr double thousandths = 1000;
     // Without a peer's answer within this time a host serves what the store told it.
     constexpr base::Duration joinTime { std::chrono::milliseconds(200) };
@@ -64,7 +66,7 @@
     : m_log(settings.log, settings.host.name, STDOUT_FILENO)
     , m_state { io, dialect, settings, m_log, m_metrics, fleet::FleetView(beatOf(settings)), Content(dialect),
         UpstreamPool(io, dialect.headers.requestId), dispatch::RetryBudget(base::BootClock::now()), {}, {}, {}, {},
-        base::Random(seed), {} }
+        base::Random(seed), {}, false }
     , m_settingsFile(std::move(settingsFile))
     , m_settingsText(textOf(m_settingsFile))
     , m_store(io, dialect, settings.store.address, seed + 1, storeEvents())
@@ -119,6 +121,7 @@
 
 void GatewayHost::handle(const std::string& address, const std::shared_ptr<ClientRequest>& request)
 {
+    checkPause(base::BootClock::now());
     if (address == m_state.settings.listen.callers) {
         if (address != m_state.settings.listen.entry || !handleOwn(address, request))
             Exchange::begin(m_state, request);
@@ -213,6 +216,7 @@
         auto change = m_state.content.applyEncoded(bytes, base::BootClock::now(), reason);
         if (!change)
             return note("refused", LogFields().add("from", from).add("reason", reason.text));
+        m_state.isStale = false;
         take(*change, "peer");
         contentChanged();
     };
@@ -353,10 +357,17 @@
 
 void GatewayHost::pullIfBehind(base::TimePoint now)
 {
+    // One of those that may be asked soonest, at random, so that not all hosts ask the same one.
     const fleet::Member* ahead = nullptr;
+    uint64_t candidates = 0;
     for (const auto& [name, member] : m_state.fleet.members()) {
         auto isAhead = member.beat.contentRevision > m_state.content.revision() && m_state.fleet.isAlive(member, now);
-        if (isAhead && (!ahead || behindTime(member) < behindTime(*ahead)))
+        if (!isAhead || (ahead && behindTime(member) > behindTime(*ahead)))
+            continue;
+        if (!ahead || behindTime(member) < behindTime(*ahead))
+            candidates = 0;
+        ++candidates;
+        if (base::uniformIndex(m_state.random, candidates) == 0)
             ahead = &member;
     }
     if (!ahead) {
@@ -370,6 +381,22 @@
     m_peers.pull(ahead->beat.peerAddress, m_state.content.hasList() ? m_state.content.revision() : 0);
 }
 
+void GatewayHost::checkPause(base::TimePoint now)
+{
+    if (!m_pauses.pass(now))
+        return;
+    m_pauses.refreshed();
+    note("paused", LogFields().add("pauses", static_cast<int64_t>(m_pauses.pauses())));
+    m_resumedAt = now;
+    const auto& members = m_state.fleet.members();
+    if (members.empty() || !m_state.content.hasList())
+        return;
+    m_state.isStale = true;
+    auto it
+        = std::next(members.begin(), static_cast<std::ptrdiff_t>(base::uniformIndex(m_state.random, members.size())));
+    m_peers.pull(it->second.beat.peerAddress, m_state.content.revision());
+}
+
 void GatewayHost::updateReader(base::TimePoint now)
 {
     auto& self = m_state.fleet.self();
@@ -404,10 +431,9 @@
 void GatewayHost::tick()
 {
     auto now = base::BootClock::now();
-    if (m_pauses.pass(now)) {
-        note("paused", LogFields().add("pauses", static_cast<int64_t>(m_pauses.pauses())));
-        m_pauses.refreshed();
-    }
+    checkPause(now);
+    if (m_state.isStale && (m_store.answeredAt() > m_resumedAt || now - m_resumedAt > refreshTime))
+        m_state.isStale = false;
     if (m_state.content.expire(now))
         contentChanged();
     auto before = m_state.fleet.members().size();
@@ -425,7 +451,7 @@
         refreshUpstreams();
     }
     m_log.flush();
-    auto isStarting = m_state.fleet.self().stage == fleet::HostStage::Starting;
+    auto isStarting = m_state.isStale || m_state.fleet.self().stage == fleet::HostStage::Starting;
     m_tickTimer.expires_after(isStarting ? startTickInterval : tickInterval);
     m_tickTimer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -41,6 +41,8 @@
     void receive(const fleet::BeatMessage&);
     void takeChanges(const fleet::BeatMessage&);
     void pullIfBehind(base::TimePoint now);
+    /** Notices that the process did not run for a while: its view is stale until a host or the store has answered. */
+    void checkPause(base::TimePoint now);
     base::Duration behindTime(const fleet::Member&) const;
     void updateReader(base::TimePoint now);
     void pushChanges(uint64_t after);
@@ -72,6 +74,7 @@
     base::TimePoint m_startedAt {};
     base::TimePoint m_behindSince {};
     base::TimePoint m_stopAt {};
+    base::TimePoint m_resumedAt {};
     base::TimePoint m_turnedAwayUntil {};
     uint64_t m_ticks { 0 };
     bool m_isStopping { false };
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -39,6 +39,8 @@
     base::Random random;
     /** When the store, or a host that reads it, last showed that the content is current. */
     base::TimePoint contentConfirmedAt {};
+    /** The process was paused and has not learned since whether its content is current. */
+    bool isStale { false };
 };
 
 }
