gateway: Answer open requests at the end of a stop; bound the wait for a connection

When the connection that an attempt needs is refused while an idle one that is not fit for it stays open, the pool neither failed the attempt nor opened another connection, so that the request waited for its time limit; the end of a planned stop cut what was open. Ruled out: the limit of connections and unproven ones, which serve the queue when they end. Change: a refused connection fails the queue unless one is in use or being opened; a request that no upstream has been sent is refused at its latency objective; a stop answers all open requests 0.4 s before its end, as not run where that is proven.

--- a/Source/papayabend/dispatch/Leg.cpp
+++ b/Source/papayabend/dispatch/Leg.cpp
@@ -20,6 +20,11 @@
         && now - history.lastSentAt >= policy.hedgeDelay;
 }
 
+bool isRefusalDue(const LegHistory& history, base::TimePoint objective, base::TimePoint now)
+{
+    return !mayHaveRun(history) && now >= objective;
+}
+
 base::Verdict verdictOf(const LegHistory& history)
 {
     return mayHaveRun(history) ? base::Verdict::MayHaveRun : base::Verdict::NotRun;
--- a/Source/papayabend/dispatch/Leg.h
+++ b/Source/papayabend/dispatch/Leg.h
@@ -39,6 +39,9 @@
 /** Returns whether a second attempt is due while the first one is in flight. */
 bool isHedgeDue(const LegPolicy&, const LegHistory&, base::TimePoint now);
 
+/** Returns whether a request that no upstream has been sent is refused, so that its client can try another host. */
+bool isRefusalDue(const LegHistory&, base::TimePoint objective, base::TimePoint now);
+
 /** Returns what is known of the whole leg. */
 base::Verdict verdictOf(const LegHistory&);
 
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -65,6 +65,7 @@
                 minRetryAfter);
         m_isGated = true;
     }
+    m_state.exchanges.emplace(this, weak_from_this());
     m_client->onClientLeft = [weak = weak_from_this()] {
         if (auto self = weak.lock())
             self->clientLeft();
@@ -89,6 +90,10 @@
     m_target = toView(message.target());
     m_host = routes::canonicalHost(toView(message[http::field::host]));
     m_id = toView(message[toBeast(names.requestId)]);
+    if (m_state.endsAt && base::BootClock::now() >= *m_state.endsAt) {
+        refuse(503, "stopping", "the process ends", startRetryAfter);
+        return false;
+    }
     if (m_state.isStale) {
         refuse(503, "stale_view", "the process was paused and refreshes its view", startRetryAfter);
         return false;
@@ -116,6 +121,8 @@
     if (time == base::Duration::max())
         time = std::chrono::minutes(1);
     m_limitAt = m_arrivedAt + std::max(time - returnMargin, time / 2);
+    if (m_state.endsAt)
+        m_limitAt = std::min(m_limitAt, *m_state.endsAt);
     auto objective = m_route->latencyObjective.count() > 0 ? m_route->latencyObjective : time;
     m_objectiveAt = m_arrivedAt + std::max(objective - returnMargin, objective / 2);
     return true;
@@ -362,7 +369,8 @@
     }
     auto now = base::BootClock::now();
     auto due = m_limitAt;
-    if (isFanOut() && m_objectiveAt > now)
+    auto mayBeUnsent = !isFanOut() && !dispatch::mayHaveRun(m_legs.front().history);
+    if ((isFanOut() || mayBeUnsent) && m_objectiveAt > now)
         due = std::min(due, m_objectiveAt);
     auto hedging = policy();
     auto isOverloaded = isFanOut() && m_state.gate.isOverloaded(m_route->shards.front());
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -25,6 +25,9 @@
 
     Exchange(GatewayState&, std::shared_ptr<ClientRequest> client);
 
+    /** Answers the request with what is there, as at its time limit. */
+    void endNow();
+
 private:
     /** Clients come back within this range after a refusal, spread so that they do not come at once. */
     static constexpr base::Duration minRetryAfter { std::chrono::milliseconds(100) };
--- a/Source/papayabend/gateway/ExchangeAnswer.cpp
+++ b/Source/papayabend/gateway/ExchangeAnswer.cpp
@@ -39,11 +39,11 @@
             return finish(plainAnswer(502, "an upstream may have run the request: " + leg.lastReason), "may_have_run");
         return refuse(503, "not_run", "no upstream took the request: " + leg.lastReason, minRetryAfter);
     }
-    if (base::BootClock::now() < m_limitAt)
-        return;
-    if (dispatch::mayHaveRun(leg.history) || leg.history.inFlight > 0)
-        return finish(plainAnswer(504, "no answer within the time of the request"), "timeout");
-    refuse(503, "not_run", "no upstream took the request in time", minRetryAfter);
+    auto now = base::BootClock::now();
+    if (dispatch::isRefusalDue(leg.history, std::min(m_objectiveAt, m_limitAt), now))
+        return refuse(503, "not_run", "no upstream took the request in time", minRetryAfter);
+    if (now >= m_limitAt)
+        finish(plainAnswer(504, "no answer within the time of the request"), "timeout");
 }
 
 void Exchange::decideFanOut(base::TimePoint now)
@@ -127,6 +127,7 @@
         return;
     m_isFinished = true;
     m_finishedAt = base::BootClock::now();
+    m_state.exchanges.erase(this);
     leaveGate();
     logEnd(answer.status, outcome);
     m_client->onClientLeft = nullptr;
@@ -147,6 +148,7 @@
         return;
     m_isFinished = true;
     m_hasLeft = true;
+    m_state.exchanges.erase(this);
     m_finishedAt = base::BootClock::now();
     leaveGate();
     logEnd(0, "client_left");
@@ -160,6 +162,12 @@
     m_timer.cancel();
 }
 
+void Exchange::endNow()
+{
+    m_limitAt = base::BootClock::now();
+    decide();
+}
+
 void Exchange::cutAttempts(const char* reason)
 {
     if (!policy().isIdempotent)
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -29,6 +29,8 @@
     constexpr base::Duration stopPoll { std::chrono::milliseconds(50) };
     // Left between the end of the process and the end of the grace time.
     constexpr base::Duration stopMargin { std::chrono::milliseconds(400) };
+    // Of that, for clients to take the answers to requests that are open at the end.
+    constexpr base::Duration answerTime { std::chrono::milliseconds(200) };
 
     fleet::HostBeat beatOf(const GatewaySettings& settings)
     {
@@ -52,7 +54,7 @@
     : m_log(settings.log, settings.host.name, STDOUT_FILENO)
     , m_state { io, dialect, settings, m_log, m_metrics, fleet::FleetView(beatOf(settings)), Content(dialect),
         UpstreamPool(io, dialect.headers.requestId), dispatch::RetryBudget(base::BootClock::now()), {}, {}, {}, {},
-        base::Random(seed), {}, false }
+        base::Random(seed), {}, false, {}, {} }
     , m_settingsFile(std::move(settingsFile))
     , m_settingsText(textOf(m_settingsFile))
     , m_store(io, dialect, settings.store.address, seed + 1, storeEvents())
@@ -260,6 +262,7 @@
     auto now = base::BootClock::now();
     auto grace = std::chrono::duration<double>(m_state.settings.stop.graceSeconds);
     m_stopAt = now + std::chrono::duration_cast<base::Duration>(grace) - stopMargin;
+    m_state.endsAt = m_stopAt;
     size_t requests = 0;
     for (const auto& [address, listener] : m_listeners) {
         requests += listener->openRequests();
@@ -271,6 +274,15 @@
     stopWhenQuiet();
 }
 
+void GatewayHost::endRequests()
+{
+    auto exchanges = m_state.exchanges;
+    for (const auto& [key, weak] : exchanges) {
+        if (auto exchange = weak.lock())
+            exchange->endNow();
+    }
+}
+
 void GatewayHost::stopWhenQuiet()
 {
     auto now = base::BootClock::now();
@@ -279,8 +291,10 @@
     auto withdrawnAt = m_stopAt + stopMargin - std::chrono::duration_cast<base::Duration>(grace)
         + std::chrono::duration_cast<base::Duration>(keep);
     auto& callers = listenerFor(m_state.settings.listen.callers);
+    if (now >= m_stopAt)
+        endRequests();
     auto isQuiet = now >= withdrawnAt && callers.openRequests() == 0;
-    if (isQuiet || now >= m_stopAt) {
+    if (isQuiet || now >= m_stopAt + answerTime) {
         note("stopped", LogFields().add("openRequests", static_cast<int64_t>(callers.openRequests())));
         m_log.flush();
         m_state.io.stop();
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -56,6 +56,8 @@
     void reload(const char* cause);
     void checkSettingsFile();
     void beginStop();
+    /** Answers all open requests. */
+    void endRequests();
     void stopWhenQuiet();
     bool isReady() const;
     void updateStage();
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -14,11 +14,15 @@
 #include "papayabend/gateway/UpstreamPool.h"
 #include "papayabend/routes/SplitChoice.h"
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 namespace papayabend::gateway {
 
+class Exchange;
+
 /** \struct GatewayState
  * \brief What the requests of a gateway share. Used on the thread of its loop.
  */
@@ -41,6 +45,10 @@
     base::TimePoint contentConfirmedAt {};
     /** The process was paused and has not learned since whether its content is current. */
     bool isStale { false };
+    /** Requests that have not been answered. */
+    std::unordered_map<const Exchange*, std::weak_ptr<Exchange>> exchanges;
+    /** End of a planned stop; every request is answered by then. */
+    std::optional<base::TimePoint> endsAt;
 };
 
 }
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -131,8 +131,8 @@
     if (!problem.empty()) {
         ++m_counters.connectionsFailed;
         refreshCounts(*to);
-        // Other connections that are open or being opened may still serve the queue.
-        if (to->load.openConnections == 0)
+        // One that is in use or being opened will serve the queue; an idle one was not fit for it.
+        if (to->load.openConnections == to->load.idleConnections)
             failQueue(*to, problem);
         return;
     }
--- a/Tests/dispatch/LegTest.cpp
+++ b/Tests/dispatch/LegTest.cpp
@@ -60,3 +60,12 @@
     CHECK_TRUE(verdictOf({ .sent = 2, .provenNotRun = 2 }) == base::Verdict::NotRun);
     CHECK_TRUE(verdictOf({ .sent = 2, .provenNotRun = 1 }) == base::Verdict::MayHaveRun);
 }
+
+// Guards against a request that no upstream has taken and that waits on while its client could ask another host.
+TEST(Leg, RequestThatNoUpstreamTookIsRefusedAtItsObjective)
+{
+    CHECK_FALSE(isRefusalDue({ .inFlight = 1 }, now + 1ms, now));
+    CHECK_TRUE(isRefusalDue({ .inFlight = 1 }, now, now));
+    CHECK_TRUE(isRefusalDue({ .sent = 1, .provenNotRun = 1 }, now, now));
+    CHECK_FALSE(isRefusalDue({ .sent = 1, .inFlight = 1 }, now, now + 1s));
+}
--- /dev/null
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -0,0 +1,309 @@
+#include "papayabend/gateway/Exchange.h"
+
+#include "gateway/ScriptedUpstream.h"
+
+#include <CppUTest/TestHarness.h>
+#include <sstream>
+#include <unistd.h>
+
+using namespace papayabend;
+using namespace papayabend::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Manner = ScriptedUpstream::Manner;
+
+routes::Configuration nextConfiguration;
+
+std::optional<routes::Configuration> parseConfiguration(std::string_view, base::LastReason&)
+{
+    return nextConfiguration;
+}
+
+// The value of an upstream is its service and address.
+std::optional<discovery::UpstreamRecord> parseUpstream(std::string_view id, std::string_view value, base::LastReason&)
+{
+    discovery::UpstreamRecord record;
+    record.id = id;
+    std::istringstream(std::string(value)) >> record.service >> record.address;
+    return record;
+}
+
+Dialect testDialect()
+{
+    Dialect dialect;
+    dialect.headers = { "X-Id", "X-Left", "X-Expect", "X-Not-Executed", "X-Proof", "X-Proofs", "X-Missing" };
+    dialect.configurationKey = "configuration";
+    dialect.upstreamPrefix = "upstreams/";
+    dialect.parseConfiguration = parseConfiguration;
+    dialect.parseUpstream = parseUpstream;
+    return dialect;
+}
+
+}
+
+TEST_GROUP(Exchange)
+{
+    boost::asio::io_context io;
+    Dialect dialect { testDialect() };
+    EventLog log { {}, "host", STDERR_FILENO };
+    GatewayMetrics metrics;
+    std::unique_ptr<GatewayState> state;
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+    std::vector<StoreItem> items;
+    std::shared_ptr<ClientRequest> client;
+    std::optional<Answer> answer;
+
+    void setup() override
+    {
+        log.configure({ 0, 0 });
+        state.reset(new GatewayState { io, dialect, {}, log, metrics, fleet::FleetView({}), Content(dialect),
+            UpstreamPool(io, "X-Id"), dispatch::RetryBudget(base::BootClock::now() - 10s), {}, {}, {}, {},
+            base::Random(1), {}, false, {}, {} });
+        nextConfiguration = {};
+        nextConfiguration.version = 1;
+    }
+
+    void teardown() override
+    {
+        client.reset();
+        if (state)
+            endAll();
+    }
+
+    void endAll()
+    {
+        auto exchanges = state->exchanges;
+        for (const auto& [key, weak] : exchanges)
+            weak.lock()->endNow();
+    }
+
+    ScriptedUpstream& addUpstream(const std::string& service, Manner manner)
+    {
+        auto& added = *upstreams.emplace_back(std::make_unique<ScriptedUpstream>(io));
+        added.manner = manner;
+        added.proof = "proof" + std::to_string(upstreams.size());
+        auto id = "u" + std::to_string(upstreams.size());
+        items.push_back({ "upstreams/" + id, service + ' ' + added.address, upstreams.size() + 1, false });
+        return added;
+    }
+
+    routes::Route& addRoute(const std::string& prefix, bool idempotent)
+    {
+        auto& route = nextConfiguration.routes.emplace_back();
+        route.name = prefix;
+        route.host = "shop";
+        route.prefix = prefix;
+        route.idempotent = idempotent;
+        route.maxAttempts = 2;
+        route.timeout = 5s;
+        route.latencyObjective = 200ms;
+        route.destinations = { { "desk", 1 } };
+        return route;
+    }
+
+    void publish()
+    {
+        items.push_back({ "configuration", "", 1, false });
+        state->content.apply(items, base::BootClock::now());
+        for (const auto& [id, entry] : state->content.upstreams().entries())
+            state->pool.setMaxConnections(id, 2);
+    }
+
+    void begin(const std::string& target)
+    {
+        answer.reset();
+        client = std::make_shared<ClientRequest>();
+        client->message.method(http::verb::get);
+        client->message.target(target);
+        client->message.set(http::field::host, "shop");
+        client->message.set("X-Id", "7");
+        client->message.set("X-Left", "4000");
+        client->arrivedAt = base::BootClock::now();
+        client->answer = [this, own = client.get()](const Answer& it) {
+            if (own == client.get())
+                answer = it;
+        };
+        Exchange::begin(*state, client);
+    }
+
+    // Runs until the request is answered, for some seconds at most.
+    unsigned runToAnswer()
+    {
+        auto end = base::BootClock::now() + 8s;
+        while (!answer && base::BootClock::now() < end)
+            io.run_for(5ms);
+        return answer ? answer->status : 0;
+    }
+
+    size_t arrivals() const
+    {
+        size_t sum = 0;
+        for (const auto& it : upstreams)
+            sum += it->requests.size();
+        return sum;
+    }
+
+    void waitForArrival()
+    {
+        while (arrivals() == 0)
+            io.run_for(1ms);
+    }
+};
+
+// Guards against a request that the end of a planned stop cuts instead of answering it.
+TEST(Exchange, RequestAtAnUpstreamIsAnsweredAtTheEndOfAStop)
+{
+    addUpstream("desk", Manner::Silent);
+    addRoute("/order/", false);
+    publish();
+    begin("/order/1");
+    waitForArrival();
+    CHECK_FALSE(answer.has_value());
+    endAll();
+    CHECK_EQUAL(504U, runToAnswer());
+    CHECK_TRUE(state->exchanges.empty());
+}
+
+// Guards against a false promise, and against a cut, for a request that no upstream has seen when a stop ends.
+TEST(Exchange, UnsentRequestIsRefusedAtTheEndOfAStop)
+{
+    auto& upstream = addUpstream("desk", Manner::Silent);
+    addRoute("/order/", false);
+    publish();
+    state->pool.setMaxConnections("u1", 1);
+    begin("/order/1");
+    waitForArrival();
+    auto first = client;
+    begin("/order/2");
+    endAll();
+    CHECK_EQUAL(503U, runToAnswer());
+    CHECK_EQUAL(1U, upstream.requests.size());
+}
+
+// Guards against a process that takes requests which it cannot answer before its end.
+TEST(Exchange, RequestAfterTheEndOfAStopIsRefused)
+{
+    addUpstream("desk", Manner::Answer);
+    addRoute("/order/", false);
+    publish();
+    state->endsAt = base::BootClock::now();
+    begin("/order/1");
+    CHECK_EQUAL(503U, runToAnswer());
+    CHECK_EQUAL(0U, arrivals());
+}
+
+// Guards against a request that waits for a connection until its time limit, while its client could ask another host.
+TEST(Exchange, RequestThatFindsNoConnectionIsRefusedAtItsObjective)
+{
+    auto& upstream = addUpstream("desk", Manner::Silent);
+    addRoute("/order/", false);
+    publish();
+    state->pool.setMaxConnections("u1", 1);
+    begin("/order/1");
+    waitForArrival();
+    auto first = client;
+    begin("/order/2");
+    auto before = base::BootClock::now();
+    CHECK_EQUAL(503U, runToAnswer());
+    CHECK_TRUE(base::BootClock::now() - before < 3s);
+    CHECK_EQUAL(1U, upstream.requests.size());
+}
+
+// Guards against a second run of a request that an upstream may have run before it broke off.
+TEST(Exchange, NonIdempotentRequestIsNotSentAgainAfterAReset)
+{
+    addUpstream("desk", Manner::Reset);
+    addUpstream("desk", Manner::Reset);
+    addRoute("/order/", false);
+    publish();
+    begin("/order/1");
+    CHECK_EQUAL(502U, runToAnswer());
+    CHECK_EQUAL(1U, arrivals());
+}
+
+// Guards against a refused request that is given up although another upstream would take it.
+TEST(Exchange, NonIdempotentRequestGoesToAnotherUpstreamAfterProofThatItHasNotRun)
+{
+    auto& refusing = addUpstream("desk", Manner::Refuse);
+    addRoute("/order/", false);
+    publish();
+    begin("/order/1");
+    CHECK_EQUAL(503U, runToAnswer());
+    CHECK_TRUE(refusing.requests.size() > 1);
+    addUpstream("desk", Manner::Answer);
+    publish();
+    begin("/order/1");
+    CHECK_EQUAL(200U, runToAnswer());
+    STRCMP_EQUAL("whole body", answer->body.c_str());
+}
+
+// Guards against a slow upstream that holds an idempotent request while another one is free.
+TEST(Exchange, IdempotentRequestIsHedged)
+{
+    addUpstream("desk", Manner::Silent);
+    auto& other = addUpstream("desk", Manner::Answer);
+    addRoute("/look/", true);
+    publish();
+    for (int n = 0; n < 100; ++n)
+        state->budget.addRequest("desk", {}, base::BootClock::now());
+    begin("/look/1");
+    CHECK_EQUAL(200U, runToAnswer());
+    CHECK_EQUAL(1U, other.requests.size());
+}
+
+// Guards against a merged answer that hides a missing shard, or one that is not the greatest records.
+TEST(Exchange, PartialAnswerNamesTheMissingShards)
+{
+    auto record = [](char c) { return std::string(16, c); };
+    addUpstream("s1", Manner::Answer).body = record('a') + record('c');
+    addUpstream("s2", Manner::Answer).body = record('b') + "rest";
+    addUpstream("s3", Manner::Silent);
+    auto& route = addRoute("/search/", true);
+    route.destinations.clear();
+    route.shards = { "s1", "s2", "s3" };
+    route.maxRecords = 2;
+    route.minShardShare = 0.6;
+    publish();
+    begin("/search/1");
+    CHECK_EQUAL(200U, runToAnswer());
+    STRCMP_EQUAL((record('c') + record('b')).c_str(), answer->body.c_str());
+    CHECK_TRUE(answer->fields.find("X-Missing: 1\r\n") != std::string::npos);
+    CHECK_TRUE(answer->fields.find("X-Proofs: proof1, proof2\r\n") != std::string::npos);
+}
+
+// Guards against an answer below the least share of shards, and against one that is late although it cannot come.
+TEST(Exchange, TooFewShardsAreAFailure)
+{
+    addUpstream("s1", Manner::Answer);
+    addUpstream("s2", Manner::Reset);
+    auto& route = addRoute("/search/", true);
+    route.destinations.clear();
+    route.shards = { "s1", "s2" };
+    route.maxRecords = 2;
+    route.minShardShare = 0.9;
+    publish();
+    begin("/search/1");
+    CHECK_EQUAL(502U, runToAnswer());
+}
+
+// Guards against work that goes on at an upstream for a client that has left.
+TEST(Exchange, IdempotentAttemptIsCutWhenTheClientLeaves)
+{
+    auto& upstream = addUpstream("desk", Manner::Silent);
+    addRoute("/look/", true);
+    publish();
+    begin("/look/1");
+    waitForArrival();
+    client->onClientLeft();
+    bool isCut = false;
+    char byte = 0;
+    upstream.open.front()->async_read_some(
+        boost::asio::buffer(&byte, 1), [&](const boost::system::error_code& ec, size_t) { isCut = bool(ec); });
+    auto end = base::BootClock::now() + 5s;
+    while (!isCut && base::BootClock::now() < end)
+        io.run_for(5ms);
+    CHECK_TRUE(isCut);
+    CHECK_TRUE(state->exchanges.empty());
+}
--- /dev/null
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+/** Upstream on loopback whose behaviour a test sets; it notes the header of each request that reaches it. */
+struct ScriptedUpstream {
+    enum class Manner {
+        Answer,
+        Silent,
+        Reset,
+        Refuse, /**< States that it has not run the request. */
+    };
+
+    explicit ScriptedUpstream(boost::asio::io_context& context)
+        : io(context)
+        , acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 })
+        , address("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()))
+    {
+        accept();
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            serve(std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void serve(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket)
+    {
+        auto buf = std::make_shared<std::string>();
+        boost::asio::async_read_until(*socket, boost::asio::dynamic_buffer(*buf), "\r\n\r\n",
+            [this, socket, buf](const boost::system::error_code& ec, size_t n) {
+                if (ec)
+                    return;
+                requests.push_back(buf->substr(0, n));
+                react(socket);
+            });
+    }
+
+    void react(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket)
+    {
+        boost::system::error_code ec;
+        switch (manner) {
+        case Manner::Silent:
+            open.push_back(socket);
+            return;
+        case Manner::Reset:
+            socket->set_option(boost::asio::socket_base::linger(true, 0), ec);
+            socket->close(ec);
+            return;
+        case Manner::Answer:
+            boost::asio::write(*socket,
+                boost::asio::buffer("HTTP/1.1 200 OK\r\nX-Proof: " + proof
+                    + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body),
+                ec);
+            break;
+        case Manner::Refuse:
+            boost::asio::write(*socket,
+                boost::asio::buffer(
+                    std::string("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")),
+                ec);
+            break;
+        }
+        serve(socket);
+    }
+
+    boost::asio::io_context& io;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::string address;
+    Manner manner { Manner::Answer };
+    std::string proof { "proof" };
+    std::string body { "whole body" };
+    std::vector<std::string> requests;
+    std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> open;
+};
