gateway: Tell other hosts only the changed rows of a configuration

Change: a host keeps three earlier values and sends the rows that differ from the one the receiver has, with the hash of the result; a receiver with another value asks for everything. Tests: one row of 4,000 goes out in under 500 bytes; rows for another value are refused and the whole is asked for.

--- a/Source/papayabend/gateway/Content.cpp
+++ b/Source/papayabend/gateway/Content.cpp
@@ -1,7 +1,11 @@
 #include "papayabend/gateway/Content.h"
 
+#include "papayabend/base/Hash.h"
+#include "papayabend/dissemination/RowDelta.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <ranges>
 
 namespace papayabend::gateway {
 
@@ -14,6 +18,8 @@
         auto it = m_items.find(item.key);
         if (it != m_items.end() && item.revision <= it->second.revision)
             continue;
+        if (it != m_items.end() && item.key == m_dialect.configurationKey)
+            keepEarlier(it->second);
         m_items.insert_or_assign(item.key, item);
         if (item.key == m_dialect.configurationKey)
             applyConfiguration(item, now, change);
@@ -98,13 +104,47 @@
         m_items, [this](const auto& it) { return it.second.isRemoved && it.second.revision <= m_forgottenRevision; });
 }
 
+void Content::keepEarlier(const StoreItem& item)
+{
+    if (item.isRemoved)
+        return;
+    m_earlier.push_back({ item.revision, item.value });
+    if (m_earlier.size() > maxEarlier)
+        m_earlier.pop_front();
+}
+
+const Content::EarlierValue* Content::earlierAsOf(uint64_t after) const
+{
+    auto it = std::ranges::find_if(
+        m_earlier.rbegin(), m_earlier.rend(), [after](const auto& earlier) { return earlier.revision <= after; });
+    return it == m_earlier.rend() ? nullptr : &*it;
+}
+
+std::optional<std::string> Content::withChangedRows(
+    uint64_t base, uint64_t hash, std::string_view delta, base::LastReason& reason) const
+{
+    auto it = m_items.find(m_dialect.configurationKey);
+    if (it == m_items.end() || it->second.revision != base)
+        return base::fail(reason, "changed rows start from revision " + std::to_string(base));
+    auto whole = dissemination::applyRowDelta(it->second.value, delta, reason);
+    if (whole && base::hash(*whole) != hash)
+        return base::fail(reason, "changed rows give another value than the sender's");
+    return whole;
+}
+
 std::string Content::encode(uint64_t after) const
 {
     if (after < m_forgottenRevision)
         after = 0;
     auto items = json::array();
     for (const auto& [key, item] : m_items) {
-        if (item.revision > after)
+        if (item.revision <= after)
+            continue;
+        const auto* base = key == m_dialect.configurationKey && !item.isRemoved ? earlierAsOf(after) : nullptr;
+        if (base)
+            items.push_back(json::array({ key, dissemination::rowDelta(base->value, item.value), item.revision, false,
+                base->revision, base::hash(item.value) }));
+        else
             items.push_back(json::array({ key, item.value, item.revision, item.isRemoved }));
     }
     std::string bytes;
@@ -124,9 +164,21 @@
                 "changes after revision " + std::to_string(after) + " do not follow on revision "
                     + std::to_string(m_revision));
         std::vector<StoreItem> items;
-        for (const auto& item : message.at(2))
-            items.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<uint64_t>(),
+        constexpr size_t fieldsOfChangedRows = 6;
+        for (const auto& item : message.at(2)) {
+            auto value = item.at(1).get<std::string>();
+            if (item.size() == fieldsOfChangedRows) {
+                auto whole = withChangedRows(item.at(4).get<uint64_t>(), item.at(5).get<uint64_t>(), value, reason);
+                m_lacksBase = !whole;
+                if (!whole)
+                    return std::nullopt;
+                value = std::move(*whole);
+            }
+            items.push_back({ item.at(0).get<std::string>(), std::move(value), item.at(2).get<uint64_t>(),
                 item.at(3).get<bool>() });
+        }
+        if (after == 0)
+            m_lacksBase = false;
         auto change = apply(items, now);
         if (after == 0) {
             std::set<std::string> keys;
--- a/Source/papayabend/gateway/Content.h
+++ b/Source/papayabend/gateway/Content.h
@@ -6,6 +6,7 @@
 #include "papayabend/routes/Configuration.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -55,13 +56,30 @@
     /** Removed items whose revisions are kept for other hosts. */
     static constexpr size_t maxRemoved = 2048;
 
+    /** Earlier values of the configuration that are kept to tell other hosts only what changed. */
+    static constexpr size_t maxEarlier = 3;
+
     /** The items that changed after revision \a after, as CBOR, for another host; all items if removals since then have
-     * been forgotten. */
+     * been forgotten. Of a configuration that \a after knows the value before, only the changed rows. */
     std::string encode(uint64_t after) const;
+    /** Revision whose successors this host asks others for; 0: all items. */
+    uint64_t askAfter() const { return m_hasList && !m_lacksBase ? m_revision : 0; }
     /** Takes the result of encode() of another host. Items are refused if this host lacks what came before them. */
     std::optional<ContentChange> applyEncoded(std::string_view bytes, base::TimePoint now, base::LastReason& reason);
 
 private:
+    struct EarlierValue {
+        uint64_t revision;
+        std::string value;
+    };
+
+    void keepEarlier(const StoreItem&);
+    /** The newest earlier configuration as of revision \a after, or nullptr. */
+    const EarlierValue* earlierAsOf(uint64_t after) const;
+    /** The value that changed rows of another host give; nothing if this host has another value than they start from.
+     */
+    std::optional<std::string> withChangedRows(
+        uint64_t base, uint64_t hash, std::string_view delta, base::LastReason&) const;
     void applyConfiguration(const StoreItem&, base::TimePoint now, ContentChange&);
     void forgetRemoved();
     void applyUpstream(const StoreItem&, base::TimePoint now, ContentChange&);
@@ -71,9 +89,11 @@
     base::TimePoint m_configurationSince {};
     discovery::UpstreamDirectory m_upstreams;
     std::map<std::string, StoreItem, std::less<>> m_items;
+    std::deque<EarlierValue> m_earlier; /**< Of the configuration, oldest first. */
     uint64_t m_revision { 0 };
     uint64_t m_forgottenRevision { 0 }; /**< Newest removal that is no longer kept. */
     bool m_hasList { false };
+    bool m_lacksBase { false }; /**< Changed rows of another host did not fit the value of this one. */
 };
 
 }
--- a/Tests/gateway/ContentTest.cpp
+++ b/Tests/gateway/ContentTest.cpp
@@ -21,6 +21,20 @@
     return configuration;
 }
 
+// A configuration of many rows, whose first one is its version.
+std::optional<routes::Configuration> parseRows(std::string_view value, base::LastReason& reason)
+{
+    return parseVersion(value.substr(0, value.find('}')), reason);
+}
+
+std::string rowsOf(int version, int changed)
+{
+    auto text = std::to_string(version) + "}";
+    for (int n = 0; n < 4000; ++n)
+        text += "{\"route\":" + std::to_string(n) + ",\"timeout\":" + (n == changed ? "9" : "5") + "}";
+    return text;
+}
+
 std::optional<discovery::UpstreamRecord> parseService(
     std::string_view id, std::string_view value, base::LastReason& reason)
 {
@@ -140,3 +154,38 @@
     CHECK_TRUE(target.upstreams().find("a")->presence == discovery::Presence::Missing);
     LONGS_EQUAL(source.revision(), target.revision());
 }
+
+// Guards against a change that is passed on as the whole configuration: 2,200 changes a day of a large one exceed what
+// control may send, and one that does not fit into a datagram has to be pulled by each host.
+TEST(Content, OnlyChangedRowsOfAConfigurationArePassedOn)
+{
+    dialect.parseConfiguration = parseRows;
+    Content source(dialect);
+    apply(source, { { "configuration", rowsOf(1, -1), 4 } });
+    Content target(dialect);
+    CHECK_TRUE(target.applyEncoded(source.encode(0), now, reason).has_value());
+    apply(source, { { "configuration", rowsOf(2, 1234), 9 } });
+    auto changes = source.encode(4);
+    CHECK_TRUE(changes.size() < 500);
+    CHECK_TRUE(target.applyEncoded(changes, now, reason).has_value());
+    LONGS_EQUAL(2, target.configuration()->version);
+    CHECK_TRUE(target.encode(0) == source.encode(0));
+}
+
+// Guards against a host that builds a configuration from a value that it does not have, or asks for it again and again.
+TEST(Content, ChangedRowsOfAnotherValueAreRefusedAndAllIsAskedFor)
+{
+    dialect.parseConfiguration = parseRows;
+    Content source(dialect);
+    apply(source, { { "configuration", rowsOf(1, -1), 4 } });
+    Content target(dialect);
+    target.applyEncoded(source.encode(0), now, reason);
+    apply(target, { { "configuration", rowsOf(2, 7), 6 } });
+    apply(source, { { "configuration", rowsOf(3, 8), 9 } });
+    CHECK_FALSE(target.applyEncoded(source.encode(target.askAfter()), now, reason).has_value());
+    LONGS_EQUAL(2, target.configuration()->version);
+    LONGS_EQUAL(0, target.askAfter());
+    CHECK_TRUE(target.applyEncoded(source.encode(target.askAfter()), now, reason).has_value());
+    LONGS_EQUAL(3, target.configuration()->version);
+    LONGS_EQUAL(9, target.askAfter());
+}
