--- a/Source/papayabend/fleet/Roles.h
+++ b/Source/papayabend/fleet/Roles.h
@@ -26,9 +26,7 @@
  */
 struct ServingSettings {
     uint32_t hostsPerDomain { 3 }; /**< At least. */
-    uint32_t attemptsPerCore {
-        6000
-    }; /**< Attempts a second that a host's core is given before another host is taken. */
+    uint32_t attemptsPerCore { 6000 }; /**< Attempts a second for each core before one more host is taken. */
 };
 
 /** Returns the ready hosts of \a failureDomain that callers are sent to, the same on every host with the same view.
--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -72,9 +72,7 @@
 struct EntryAnswerSettings {
     double timeToLiveSeconds { 1 };
     uint32_t hostsPerFailureDomain { 3 }; /**< That callers are sent to, at least. */
-    uint32_t attemptsPerCore {
-        6000
-    }; /**< Attempts a second that a host's core is given before another host is taken. */
+    uint32_t attemptsPerCore { 6000 }; /**< Attempts a second for each core before one more host is taken. */
 };
 
 /** \struct TableSettings
--- a/Tests/engine/ControlPathTest.cpp
+++ b/Tests/engine/ControlPathTest.cpp
@@ -78,8 +78,8 @@
     start(fleet);
     const std::vector<std::string> cells { "weight=-3", "weight=none", "limit=0/s", "priority=soon" };
     for (uint64_t n = 0; n < cells.size(); ++n) {
-        fleet.publishText("table", 2 + n,
-            "version," + std::to_string(2 + n) + "\naccount,search,orders\nalpha," + cells[n] + ",-\n");
+        fleet.publishText(
+            "table", 2 + n, "version," + std::to_string(2 + n) + "\naccount,search,orders\nalpha," + cells[n] + ",-\n");
         fleet.runFor(2s);
     }
     for (const auto& cell : cells)
