dispatch: Pause after refused connections; close surplus idle ones

After a loss of power upstreams are full of the connections of lost processes; hosts opened new ones again at once and kept each other out for eight seconds. Tests fail on the old code (connections opened without end, surplus kept).

--- a/Source/papayabend/dispatch/ChooseUpstream.cpp
+++ b/Source/papayabend/dispatch/ChooseUpstream.cpp
@@ -21,6 +21,10 @@
     // Time after which one connection more is tried. Connections of hosts that lost power count at an upstream until it
     // closes idle ones, some seconds later.
     constexpr base::Duration connectionGrowth { std::chrono::seconds(1) };
+    // Pause after a refused connection while none is open; doubles up to 0.8 s. Upstreams drop the connections of lost
+    // hosts within seconds, and hosts that try again at once keep each other out.
+    constexpr base::Duration minConnectPause { std::chrono::milliseconds(100) };
+    constexpr uint32_t maxConnectDoublings = 3;
     // Time to open a connection, of the order that the operators state for their upstreams.
     constexpr base::Duration connectTime { std::chrono::milliseconds(6) };
     // Links between failure domains cost more; an upstream there is taken if it is faster by this factor.
@@ -40,7 +44,8 @@
     int classOf(const Candidate& candidate, base::TimePoint now)
     {
         auto rank = candidate.entry->presence == discovery::Presence::Missing ? 4 : 0;
-        if (candidate.load->avoidUntil > now)
+        auto isUnreachable = candidate.load->openConnections == 0 && !acceptsConnections(*candidate.load, now);
+        if (candidate.load->avoidUntil > now || isUnreachable)
             rank += 2;
         if (candidate.load->fullUntil > now)
             rank += 1;
@@ -53,6 +58,8 @@
 {
     load.failures = 0;
     load.avoidUntil = {};
+    load.refusedConnections = 0;
+    load.noConnectUntil = {};
     if (typical.count() <= 0)
         return;
     auto sample = std::clamp(
@@ -72,8 +79,14 @@
 {
     load.acceptedConnections = std::max(others, 1U);
     load.acceptedAt = now;
+    if (others > 0)
+        return;
+    load.noConnectUntil = now + minConnectPause * (1 << std::min(load.refusedConnections, maxConnectDoublings));
+    ++load.refusedConnections;
 }
 
+bool acceptsConnections(const UpstreamLoad& load, base::TimePoint now) { return now >= load.noConnectUntil; }
+
 uint32_t connectionLimit(const UpstreamLoad& load, base::TimePoint now)
 {
     if (load.acceptedConnections >= load.maxConnections)
--- a/Source/papayabend/dispatch/ChooseUpstream.h
+++ b/Source/papayabend/dispatch/ChooseUpstream.h
@@ -26,6 +26,8 @@
     uint32_t maxConnections { 1 }; /**< Connections that this host may have to it. */
     uint32_t acceptedConnections { UINT32_MAX }; /**< Bound learned from connections that it reset unused. */
     base::TimePoint acceptedAt {}; /**< Time of the newest change of that bound. */
+    uint32_t refusedConnections { 0 }; /**< Refused in a row while no other one was open. */
+    base::TimePoint noConnectUntil {}; /**< End of the pause after them. */
     uint32_t waiting { 0 }; /**< Requests that wait for a connection. */
 };
 
@@ -57,6 +59,9 @@
 /** Records that the upstream ended a connection on which it had answered nothing: it accepts no more than \a others. */
 void addRefusedConnection(UpstreamLoad&, uint32_t others, base::TimePoint now);
 
+/** Returns whether a connection to the upstream may be opened now, as far as it has refused earlier ones. */
+bool acceptsConnections(const UpstreamLoad&, base::TimePoint now);
+
 /** Returns the connections that this host may have to the upstream now; the learned bound grows with time. */
 uint32_t connectionLimit(const UpstreamLoad&, base::TimePoint now);
 
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -201,7 +201,7 @@
     if (m_state.fleet.members().size() != before)
         refreshUpstreams();
     m_state.contentConfirmedAt = std::max(m_state.contentConfirmedAt, m_store.answeredAt());
-    m_state.pool.sweep(now);
+    m_state.pool.sweep(m_state.budgetShare.isServing ? 1 : 0, now);
     fleet::observe(m_load, m_state.pool.counters().attempts, now);
     m_state.fleet.self().load = static_cast<uint32_t>(m_load.perSecond);
     updateReader(now);
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -11,6 +11,9 @@
 
     // An idle connection whose peer states no limit is closed after this time.
     constexpr base::Duration defaultIdleTime { std::chrono::seconds(10) };
+    // An idle connection beyond those that are kept is closed after this time, so that upstreams have room for the
+    // connections of other hosts, above all after a loss of many.
+    constexpr base::Duration surplusIdleTime { std::chrono::seconds(2) };
     // A request that cannot be repeated goes to a connection that was used this recently, or to a new one.
     // Resets come within a round trip between failure domains, some eleven milliseconds.
     constexpr std::chrono::milliseconds settleTime { 12 };
@@ -152,8 +155,9 @@
     // One at a time until the upstream has answered on it, since an upstream at its bound resets it after a moment.
     auto isUnproven = [](const auto& it) { return !it->isProven() && !it->isIdle(); };
     auto unproven = static_cast<size_t>(std::ranges::count_if(upstream.connections, isUnproven)) + upstream.connecting;
-    return unproven < maxUnproven
-        && upstream.load.openConnections < dispatch::connectionLimit(upstream.load, base::BootClock::now());
+    auto now = base::BootClock::now();
+    return unproven < maxUnproven && dispatch::acceptsConnections(upstream.load, now)
+        && upstream.load.openConnections < dispatch::connectionLimit(upstream.load, now);
 }
 
 void UpstreamPool::noteRefused(Upstream& upstream, const HttpConnection& ended)
@@ -203,6 +207,8 @@
     }
     if (upstream.connecting < upstream.queue.size() && mayConnect(upstream))
         connect(upstream);
+    else if (!upstream.queue.empty() && upstream.load.openConnections == 0)
+        failQueue(upstream, "it has refused connections a moment ago");
 }
 
 void UpstreamPool::start(
@@ -284,14 +290,18 @@
     endAttempt(attempt, std::move(result));
 }
 
-void UpstreamPool::sweep(base::TimePoint now)
+void UpstreamPool::sweep(size_t keptIdle, base::TimePoint now)
 {
     for (auto& [id, upstream] : m_upstreams) {
         auto connections = upstream->connections;
+        size_t kept = 0;
         for (const auto& connection : connections) {
             auto limit = connection->idleUntil().value_or(connection->idleSince() + defaultIdleTime);
-            if (connection->isIdle() && now > limit)
+            auto isSurplus = kept >= keptIdle && now - connection->idleSince() > surplusIdleTime;
+            if (connection->isIdle() && (now > limit || isSurplus))
                 connection->close("idle");
+            else
+                ++kept;
         }
         refreshCounts(*upstream);
     }
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -48,8 +48,9 @@
     /** Ends an attempt: one that was not sent leaves the queue, one that was sent loses its connection. */
     void cancel(const std::shared_ptr<Attempt>&, std::string_view reason);
 
-    /** Closes idle connections that the peer is about to close. */
-    void sweep(base::TimePoint now);
+    /** Closes idle connections that the peer is about to close, and those beyond \a keptIdle an upstream after a while.
+     */
+    void sweep(size_t keptIdle, base::TimePoint now);
 
     /** Closes what belongs to upstreams that are no longer there. */
     void retain(const discovery::UpstreamDirectory&);
--- a/Tests/dispatch/ChooseUpstreamTest.cpp
+++ b/Tests/dispatch/ChooseUpstreamTest.cpp
@@ -108,3 +108,21 @@
     addRefusedConnection(load, 0, now);
     LONGS_EQUAL(1, connectionLimit(load, now));
 }
+
+// Guards against hosts that connect again at once to an upstream which is full of connections of lost hosts, and so
+// keep each other out (incident 70b9 of sulina-busca-grown: 100,729 connections reset in some eight seconds).
+TEST(ChooseUpstream, RefusedConnectionsAreTriedAgainAfterAPause)
+{
+    UpstreamLoad load;
+    addRefusedConnection(load, 1, now);
+    CHECK_TRUE(acceptsConnections(load, now));
+    addRefusedConnection(load, 0, now);
+    CHECK_FALSE(acceptsConnections(load, now + 99ms));
+    CHECK_TRUE(acceptsConnections(load, now + 100ms));
+    for (int n = 0; n < 9; ++n)
+        addRefusedConnection(load, 0, now);
+    CHECK_FALSE(acceptsConnections(load, now + 799ms));
+    CHECK_TRUE(acceptsConnections(load, now + 800ms));
+    addLatency(load, 1ms, 1ms, now);
+    CHECK_TRUE(acceptsConnections(load, now));
+}
--- a/Tests/gateway/ScriptedUpstream.h
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -11,6 +11,7 @@
         Answer,
         Silent,
         Reset,
+        ResetAtOnce, /**< Before it has read anything, as an upstream at its bound of connections. */
         Refuse, /**< States that it has not run the request. */
     };
 
@@ -27,7 +28,12 @@
         acceptor.async_accept([this](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) {
             if (ec)
                 return;
-            serve(std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket)));
+            ++connections;
+            auto accepted = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket));
+            if (manner == Manner::ResetAtOnce)
+                react(accepted);
+            else
+                serve(accepted);
             accept();
         });
     }
@@ -52,6 +58,7 @@
             open.push_back(socket);
             return;
         case Manner::Reset:
+        case Manner::ResetAtOnce:
             socket->set_option(boost::asio::socket_base::linger(true, 0), ec);
             socket->close(ec);
             return;
@@ -74,6 +81,7 @@
     boost::asio::io_context& io;
     boost::asio::ip::tcp::acceptor acceptor;
     std::string address;
+    size_t connections { 0 }; /**< Accepted. */
     Manner manner { Manner::Answer };
     std::string proof { "proof" };
     std::string body { "whole body" };
--- a/Tests/gateway/UpstreamPoolTest.cpp
+++ b/Tests/gateway/UpstreamPoolTest.cpp
@@ -73,3 +73,42 @@
     runToEnd(*second);
     CHECK_TRUE(second->isEnded);
 }
+
+// Guards against a host that opens connections without end to an upstream that resets each of them.
+TEST(UpstreamPool, ConnectionsToAFullUpstreamAreFew)
+{
+    upstream.manner = ScriptedUpstream::Manner::ResetAtOnce;
+    auto end = base::BootClock::now() + 500ms;
+    while (base::BootClock::now() < end) {
+        submit(false);
+        pool->warm(record, 1);
+        io.run_for(5ms);
+    }
+    CHECK_TRUE(upstream.connections >= 2 && upstream.connections <= 6);
+}
+
+// Guards against an upstream that is full of connections which are not used.
+TEST(UpstreamPool, SurplusConnectionsAreClosed)
+{
+    auto openTwo = [this] {
+        upstream.manner = ScriptedUpstream::Manner::Silent;
+        upstream.open.clear();
+        auto first = submit(false);
+        auto second = submit(false);
+        while (upstream.open.size() < 2)
+            io.run_for(1ms);
+        upstream.manner = ScriptedUpstream::Manner::Answer;
+        for (const auto& socket : upstream.open)
+            upstream.react(socket);
+        runToEnd(*first);
+        runToEnd(*second);
+    };
+    openTwo();
+    LONGS_EQUAL(2, pool->openConnections());
+    pool->sweep(1, base::BootClock::now() + 1s);
+    LONGS_EQUAL(2, pool->openConnections());
+    pool->sweep(1, base::BootClock::now() + 3s);
+    LONGS_EQUAL(1, pool->openConnections());
+    pool->sweep(0, base::BootClock::now() + 3s);
+    LONGS_EQUAL(0, pool->openConnections());
+}
