gateway: Let connections without a reserved place settle before their first request

Cause: hosts without callers open single connections beyond the parts of the serving hosts. Ruled out: serving hosts, whose part of the connections the others leave free. The test fails on the old code.

--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -156,7 +156,7 @@
         auto all = limit == configuration->maxConnections.end() ? 0U : limit->second;
         auto share = all == 0 ? UINT32_MAX : static_cast<uint32_t>(all * connectionShare / static_cast<double>(hosts));
         auto most = isServing ? std::min(share, record.concurrency * connectionsPerSlot) : 1;
-        m_state.pool.setMaxConnections(id, most);
+        m_state.pool.setMaxConnections(id, most, isServing);
         if (isServing && routed.contains(record.service) && entry.presence == discovery::Presence::Listed
             && !record.isDraining)
             m_state.pool.warm(record, 1);
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -47,9 +47,11 @@
 
 dispatch::UpstreamLoad& UpstreamPool::load(std::string_view id) { return upstream(id).load; }
 
-void UpstreamPool::setMaxConnections(std::string_view id, uint32_t count)
+void UpstreamPool::setMaxConnections(std::string_view id, uint32_t count, bool isReserved)
 {
-    upstream(id).load.maxConnections = std::max(count, 1U);
+    auto& to = upstream(id);
+    to.load.maxConnections = std::max(count, 1U);
+    to.isReserved = isReserved;
 }
 
 void UpstreamPool::refreshCounts(Upstream& upstream)
@@ -107,7 +109,8 @@
     connection->open(*endpoint, [this, id = upstream.id, connection, timer](const std::string& problem) {
         timer->cancel();
         const auto* to = find(id);
-        if (problem.empty() && to && to->load.acceptedConnections < to->load.maxConnections)
+        auto mayBeReset = to && (!to->isReserved || to->load.acceptedConnections < to->load.maxConnections);
+        if (problem.empty() && mayBeReset)
             return settle(id, connection);
         connected(id, connection, problem);
     });
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -36,8 +36,8 @@
     /** State of an upstream; created at the first use. */
     dispatch::UpstreamLoad& load(std::string_view id);
 
-    /** Connections that this host may have to the upstream. */
-    void setMaxConnections(std::string_view id, uint32_t count);
+    /** Connections that this host may have to the upstream. \a isReserved: it accepts as many from all such hosts. */
+    void setMaxConnections(std::string_view id, uint32_t count, bool isReserved = true);
 
     /** Sends the attempt as soon as a connection to \a record is free, oldest attempt first. */
     void submit(const discovery::UpstreamRecord& record, const std::shared_ptr<Attempt>&);
@@ -66,6 +66,9 @@
         std::vector<std::shared_ptr<HttpConnection>> connections;
         std::deque<std::shared_ptr<Attempt>> queue;
         uint32_t connecting { 0 };
+        bool isReserved {
+            true
+        }; /**< It has room for this host's connections unless others hold more than their part. */
     };
 
     Upstream& upstream(std::string_view id);
--- a/Tests/gateway/ScriptedUpstream.h
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -11,6 +11,7 @@
         Answer,
         Silent,
         Reset,
+        ResetAfterAMoment, /**< A few milliseconds after it has accepted the connection. */
         ResetAtOnce, /**< Before it has read anything, as an upstream at its bound of connections. */
         Refuse, /**< States that it has not run the request. */
     };
@@ -32,12 +33,20 @@
             auto accepted = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket));
             if (manner == Manner::ResetAtOnce)
                 react(accepted);
+            else if (manner == Manner::ResetAfterAMoment)
+                reactLater(accepted);
             else
                 serve(accepted);
             accept();
         });
     }
 
+    void reactLater(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(io, std::chrono::milliseconds(3));
+        timer->async_wait([this, socket, timer](const boost::system::error_code&) { react(socket); });
+    }
+
     void serve(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket)
     {
         auto buf = std::make_shared<std::string>();
@@ -59,6 +68,7 @@
             return;
         case Manner::Reset:
         case Manner::ResetAtOnce:
+        case Manner::ResetAfterAMoment:
             socket->set_option(boost::asio::socket_base::linger(true, 0), ec);
             socket->close(ec);
             return;
--- a/Tests/gateway/UpstreamPoolTest.cpp
+++ b/Tests/gateway/UpstreamPoolTest.cpp
@@ -112,3 +112,15 @@
     pool->sweep(0, base::BootClock::now() + 3s);
     LONGS_EQUAL(0, pool->openConnections());
 }
+
+// Guards against a request that is lost, and cannot be repeated, because it was sent on a connection beyond the part of
+// this host, which the upstream resets a moment later.
+TEST(UpstreamPool, ConnectionWithoutAReservedPlaceIsNotUsedAtOnce)
+{
+    upstream.manner = ScriptedUpstream::Manner::ResetAfterAMoment;
+    pool->setMaxConnections("u", 1, false);
+    auto attempt = submit(true);
+    runToEnd(*attempt);
+    CHECK_TRUE(result && result->end == CallEnd::NotSent);
+    CHECK_FALSE(attempt->isSent());
+}
