--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -98,6 +98,8 @@
                 .add("source", source)
                 .add("version", static_cast<int64_t>(configuration.version))
                 .add("routes", static_cast<int64_t>(configuration.routes.size()))
+                .add("idempotentRoutes",
+                    std::ranges::count_if(configuration.routes, [](const auto& it) { return it.idempotent; }))
                 .add("revision", revision));
         m_state.split.retain(configuration);
         for (const auto& [address, listener] : m_listeners)
