--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -53,9 +53,16 @@
 GatewayHost::GatewayHost(boost::asio::io_context& io, const GatewaySettings& settings, std::string settingsFile,
     const Dialect& dialect, uint64_t seed)
     : m_log(settings.log, settings.host.name, STDOUT_FILENO)
-    , m_state { io, dialect, settings, m_log, m_metrics, fleet::FleetView(beatOf(settings)), Content(dialect),
-        UpstreamPool(io, dialect.headers.requestId), {}, { base::BootClock::now() }, {}, {}, {}, {}, base::Random(seed),
-        {}, false, {}, {}, {}, {} }
+    , m_state { .io = io,
+        .dialect = dialect,
+        .settings = settings,
+        .log = m_log,
+        .metrics = m_metrics,
+        .fleet = fleet::FleetView(beatOf(settings)),
+        .content = Content(dialect),
+        .pool = UpstreamPool(io, dialect.headers.requestId),
+        .budgetShare = { .startedAt = base::BootClock::now() },
+        .random = base::Random(seed) }
     , m_settingsFile(std::move(settingsFile))
     , m_settingsText(textOf(m_settingsFile))
     , m_store(io, dialect, settings.store.address, seed + 1, storeEvents())
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -58,9 +58,16 @@
     void setup() override
     {
         log.configure({ 0, 0, 0 });
-        state.reset(new GatewayState { io, dialect, {}, log, metrics, fleet::FleetView({}), Content(dialect),
-            UpstreamPool(io, "X-Id"), {}, { base::BootClock::now() - 10s }, {}, {}, {}, {}, base::Random(1), {}, false,
-            {}, {}, {}, {} });
+        state.reset(new GatewayState { .io = io,
+            .dialect = dialect,
+            .settings = {},
+            .log = log,
+            .metrics = metrics,
+            .fleet = fleet::FleetView({}),
+            .content = Content(dialect),
+            .pool = UpstreamPool(io, "X-Id"),
+            .budgetShare = { .startedAt = base::BootClock::now() - 10s },
+            .random = base::Random(1) });
         nextConfiguration = {};
         nextConfiguration.version = 1;
     }
@@ -103,6 +110,15 @@
         return route;
     }
 
+    void addFanOut(const std::string& prefix, std::vector<std::string> shards, double minShare)
+    {
+        auto& route = addRoute(prefix, true);
+        route.destinations.clear();
+        route.shards = std::move(shards);
+        route.maxRecords = 2;
+        route.minShardShare = minShare;
+    }
+
     void publish()
     {
         items.push_back({ "configuration", "", 1, false });
@@ -260,11 +276,7 @@
     addUpstream("s1", Manner::Answer).body = record('a') + record('c');
     addUpstream("s2", Manner::Answer).body = record('b') + "rest";
     addUpstream("s3", Manner::Silent);
-    auto& route = addRoute("/search/", true);
-    route.destinations.clear();
-    route.shards = { "s1", "s2", "s3" };
-    route.maxRecords = 2;
-    route.minShardShare = 0.6;
+    addFanOut("/search/", { "s1", "s2", "s3" }, 0.6);
     publish();
     begin("/search/1");
     CHECK_EQUAL(200U, runToAnswer());
@@ -278,11 +290,7 @@
 {
     addUpstream("s1", Manner::Answer);
     addUpstream("s2", Manner::Reset);
-    auto& route = addRoute("/search/", true);
-    route.destinations.clear();
-    route.shards = { "s1", "s2" };
-    route.maxRecords = 2;
-    route.minShardShare = 0.9;
+    addFanOut("/search/", { "s1", "s2" }, 0.9);
     publish();
     begin("/search/1");
     CHECK_EQUAL(502U, runToAnswer());
