gateway: Log slow and failed pulls of content and count their bytes

The log gets a line for a pull that failed or took 0.5 s, the metrics count pulls, failures, bytes and the time to encode answers.

--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -12,6 +12,8 @@
     // change.
     constexpr base::Duration readerPullDelay { std::chrono::milliseconds(300) };
     constexpr base::Duration otherDomainPullDelay { std::chrono::milliseconds(800) };
+    // A pull that takes this long is logged although it succeeded.
+    constexpr base::Duration slowPullTime { std::chrono::milliseconds(500) };
     // A host that has just started waits this long for the heartbeats of other hosts before it reads the store.
     constexpr base::Duration readerDelay { std::chrono::milliseconds(60) };
     // Time for which other hosts are preferred as readers after the store did not answer this one.
@@ -65,11 +67,14 @@
     events.crashNotices = [this] { return m_state.suspects.notices(base::BootClock::now()); };
     events.messageRefused
         = [this](const std::string& reason, const std::string& from) { logRefusedMessage(reason, from); };
-    events.contentReceived = [this](const std::string& bytes, const std::string& from) {
+    events.pullEnded = [this](const PullResult& result) {
+        logPull(result);
+        if (!result.problem.empty())
+            return;
         base::LastReason reason;
-        auto change = m_state.content.applyEncoded(bytes, base::BootClock::now(), reason);
+        auto change = m_state.content.applyEncoded(result.content, base::BootClock::now(), reason);
         if (!change)
-            return logRefusedMessage(reason.text, from);
+            return logRefusedMessage(reason.text, result.from);
         m_state.isStale = false;
         handleContentChange(*change, "peer");
         updateAfterContentChange();
@@ -82,6 +87,30 @@
     logEvent("refused", LogFields().add("from", from).add("reason", reason), LineClass::Change);
 }
 
+void GatewayHost::logPull(const PullResult& result)
+{
+    ++m_transfers.pulls;
+    m_transfers.pulledBytes += result.receivedBytes;
+    m_transfers.failedPulls += result.problem.empty() ? 0 : 1;
+    if (result.problem.empty() && result.duration < slowPullTime)
+        return;
+    LogFields fields;
+    fields.add("from", result.from).add("outcome", result.problem.empty() ? "received" : "failed");
+    if (!result.problem.empty())
+        fields.add("reason", result.problem);
+    fields.add("bytes", static_cast<int64_t>(result.receivedBytes)).add("ms", base::toMilliseconds(result.duration));
+    logEvent("pull", fields.add("revision", static_cast<int64_t>(m_state.content.revision())), LineClass::Change);
+}
+
+std::string GatewayHost::encodeForPeer(uint64_t after)
+{
+    auto startedAt = base::BootClock::now();
+    auto content = m_state.content.encode(after);
+    m_transfers.encodeTime += base::BootClock::now() - startedAt;
+    m_transfers.sentBytes += content.size();
+    return content;
+}
+
 void GatewayHost::pushChanges(uint64_t after)
 {
     if (m_state.content.revision() <= after)
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -155,7 +155,7 @@
         Answer answer;
         answer.status = !after ? 400 : m_state.content.hasList() ? 200 : 503;
         answer.fields = "Content-Type: application/cbor\r\n";
-        answer.body = m_state.content.encode(after.value_or(0));
+        answer.body = encodeForPeer(after.value_or(0));
         request->answer(answer);
         return true;
     }
@@ -375,6 +375,11 @@
     counter("store_calls_total", m_storeReader.calls());
     counter("log_lines_dropped_total", m_log.dropped());
     counter("peer_sent_bytes_total", m_peerLink.sentBytes());
+    counter("content_pulls_total", m_transfers.pulls);
+    counter("content_pulls_failed_total", m_transfers.failedPulls);
+    counter("content_pulled_bytes_total", m_transfers.pulledBytes);
+    counter("content_sent_bytes_total", m_transfers.sentBytes);
+    counter("content_encode_seconds_total", std::chrono::duration<double>(m_transfers.encodeTime).count());
     counter("upstream_connections_opened_total", m_state.pool.counters().connectionsOpened);
     counter("upstream_connections_failed_total", m_state.pool.counters().connectionsFailed);
     counter("upstream_attempts_total", m_state.pool.counters().attempts);
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -51,6 +51,10 @@
     /** Sets the connection limit of each upstream and opens a first connection to those in use. */
     void updateUpstreamConnections();
     void logRefusedMessage(const std::string& reason, const std::string& from);
+    /** Counts a pull, and logs it if it failed or was slow. */
+    void logPull(const PullResult&);
+    /** Returns the answer to another host's pull. */
+    std::string encodeForPeer(uint64_t after);
     void handleHeartbeats(const fleet::HeartbeatMessage&);
     /** Applies the changes that another host has sent with its heartbeat. */
     void applyPushedChanges(const fleet::HeartbeatMessage&);
@@ -89,6 +93,17 @@
     void updateMetrics();
     void logEvent(std::string_view event, const LogFields& fields, LineClass = LineClass::Lifecycle);
 
+    /** \struct TransferCounters
+     * \brief Pulls and the content exchanged by them, since the start of the process.
+     */
+    struct TransferCounters {
+        uint64_t pulls { 0 };
+        uint64_t failedPulls { 0 };
+        uint64_t pulledBytes { 0 };
+        uint64_t sentBytes { 0 }; /**< In answers to the pulls of other hosts. */
+        base::Duration encodeTime { 0 }; /**< Time spent encoding those answers. */
+    };
+
     EventLog m_log;
     GatewayMetrics m_metrics;
     GatewayState m_state;
@@ -102,6 +117,7 @@
     boost::asio::steady_timer m_stopTimer;
     boost::asio::signal_set m_signals;
     membership::PauseDetector m_pauseDetector;
+    TransferCounters m_transfers;
     fleet::LoadEstimate m_loadEstimate;
     base::TimePoint m_startedAt {};
     base::TimePoint m_behindSince {}; /**< Since when another live host has had newer content; default if none has. */
--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -99,6 +99,7 @@
     m_isWritten = false;
     m_closesAfterAnswer = false;
     m_output = std::move(request);
+    m_receivedBytes = 0;
     newParser();
     error_code ec;
     auto n = m_socket.write_some(asio::buffer(m_output), ec);
@@ -142,6 +143,7 @@
         return inputEnded(ec);
     if (!m_done)
         return close("the peer sent data while no request was in flight");
+    m_receivedBytes += n;
     m_input.append(buf.data(), n);
     parse();
     if (m_socket.is_open())
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -74,6 +74,8 @@
      * the peer stated none. */
     std::optional<base::TimePoint> idleUntil() const { return m_idleUntil; }
     base::TimePoint idleSince() const { return m_idleSince; }
+    /** Bytes received since the newest request was sent. */
+    uint64_t receivedBytes() const { return m_receivedBytes; }
     /** Returns whether the peer has answered a request on this connection. */
     bool hasAnswered() const { return m_hasAnswered; }
 
@@ -103,6 +105,7 @@
     std::function<void()> m_onIdleEnd;
     std::optional<base::TimePoint> m_idleUntil;
     base::TimePoint m_idleSince {};
+    uint64_t m_receivedBytes { 0 };
     bool m_isConnected { false };
     bool m_hasAnswered { false };
     bool m_isHead { false };
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -4,6 +4,7 @@
 #include "papayabend/gateway/Address.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayabend::gateway {
 
@@ -152,19 +153,23 @@
         if (!ec && locked)
             locked->close("the host did not answer the pull in time");
     });
-    auto finish = [this, timer] {
+    auto finish = [this, timer, address, startedAt = base::BootClock::now()](std::string problem, std::string content) {
         timer->cancel();
-        m_pullConnection.reset();
+        auto receivedBytes = std::exchange(m_pullConnection, nullptr)->receivedBytes();
+        m_events.pullEnded(
+            { address, std::move(problem), std::move(content), receivedBytes, base::BootClock::now() - startedAt });
     };
     m_pullConnection->open(*endpoint, [this, address, revision, finish](const std::string& problem) {
         if (!problem.empty())
-            return finish();
+            return finish(problem, {});
         auto target = std::string(contentTarget) + std::to_string(revision);
         auto request = requestText("GET", target, "Host: " + address + "\r\n", {}, false);
-        m_pullConnection->send(request, {}, {}, false, [this, address, finish](const CallResult& result) {
-            finish();
-            if (result.end == CallEnd::Answered && result.answer.result_int() == 200)
-                m_events.contentReceived(result.answer.body(), address);
+        m_pullConnection->send(request, {}, {}, false, [finish](const CallResult& result) {
+            if (result.end != CallEnd::Answered)
+                return finish(result.reason, {});
+            if (result.answer.result_int() != 200)
+                return finish("status " + std::to_string(result.answer.result_int()), {});
+            finish({}, result.answer.body());
         });
     });
 }
--- a/Source/papayabend/gateway/PeerLink.h
+++ b/Source/papayabend/gateway/PeerLink.h
@@ -16,6 +16,17 @@
 
 namespace papayabend::gateway {
 
+/** \struct PullResult
+ * \brief Outcome of a request for the content of another host.
+ */
+struct PullResult {
+    std::string from; /**< Peer address of the other host. */
+    std::string problem; /**< Why there is no content; empty on success. */
+    std::string content;
+    uint64_t receivedBytes { 0 };
+    base::Duration duration { 0 };
+};
+
 /** \struct PeerEvents
  * \brief Callbacks of a PeerLink.
  */
@@ -23,8 +34,8 @@
     std::function<void(const fleet::HeartbeatMessage&)> messageReceived;
     /** Returns the notices to send with a heartbeat. */
     std::function<std::vector<dispatch::CrashNotice>()> crashNotices;
-    /** The answer to a pull. */
-    std::function<void(const std::string& bytes, const std::string& from)> contentReceived;
+    /** A pull has ended. */
+    std::function<void(const PullResult&)> pullEnded;
     /** A datagram that cannot be decoded. */
     std::function<void(const std::string& reason, const std::string& from)> messageRefused;
 };
