fleet: Bound the transfers of content and refer hosts to earlier receivers

What callers saw: 5 s after version 12 had been acknowledged, hosts of one failure domain still served version 10.

Cause: a change above 8 KB does not fit into a heartbeat and is pulled. At first only the reader of the failure domain has it, so all 25 other hosts fetched 250 KB over its link of 20 Mbit/s at the same time. That takes 2.6 s; each pull was abandoned after 2 s, whatever had arrived, and started again. The link stayed full for nine seconds, so that heartbeats and the reader's own watch of the store were late too.

Ruled out: the readers had the change in force 0.7 s after it was sent; hosts used 7 % of their processor share at most.

Change: a host sends large content to two hosts at a time and refuses others at once, with the addresses of those that have received it; a refused host asks one of these, or waits for a short random time. A pull ends when nothing has arrived for 1.5 s instead of 2 s after its start. The encoded answer is kept while hosts pull the same.

Result: PeerLink.PullThatMakesProgressIsNotAbandoned and ContentTransfer.TransfersBeyondTheLimitAreRefusedUntilOneEnds failed before and pass. In virtual time 1 MB reaches 27 hosts over links of 20 Mbit/s within 5 s and 123 hosts within 12 s; both fail without the bound.

--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -7,13 +7,10 @@
 
 namespace {
 
-    // Times for which a host is behind another one before it pulls. A reader's own watch returns a change within some
-    // milliseconds. A host of another failure domain is asked only if the reader of the own one has not sent the
-    // change.
-    constexpr base::Duration readerPullDelay { std::chrono::milliseconds(300) };
-    constexpr base::Duration otherDomainPullDelay { std::chrono::milliseconds(800) };
     // A pull that takes this long is logged although it succeeded.
     constexpr base::Duration slowPullTime { std::chrono::milliseconds(500) };
+    // Time for which the encoded answer to a pull is kept after its last use; other hosts pull the same at that time.
+    constexpr base::Duration encodedContentTime { std::chrono::seconds(2) };
     // A host that has just started waits this long for the heartbeats of other hosts before it reads the store.
     constexpr base::Duration readerDelay { std::chrono::milliseconds(60) };
     // Time for which other hosts are preferred as readers after the store did not answer this one.
@@ -69,15 +66,7 @@
         = [this](const std::string& reason, const std::string& from) { logRefusedMessage(reason, from); };
     events.pullEnded = [this](const PullResult& result) {
         logPull(result);
-        if (!result.problem.empty())
-            return;
-        base::LastReason reason;
-        auto change = m_state.content.applyEncoded(result.content, base::BootClock::now(), reason);
-        if (!change)
-            return logRefusedMessage(reason.text, result.from);
-        m_state.isStale = false;
-        handleContentChange(*change, "peer");
-        updateAfterContentChange();
+        pullAgain(result, applyPulledContent(result));
     };
     return events;
 }
@@ -91,8 +80,9 @@
 {
     ++m_transfers.pulls;
     m_transfers.pulledBytes += result.receivedBytes;
-    m_transfers.failedPulls += result.problem.empty() ? 0 : 1;
-    if (result.problem.empty() && result.duration < slowPullTime)
+    m_transfers.refusedPulls += result.isBusy ? 1 : 0;
+    m_transfers.failedPulls += result.problem.empty() || result.isBusy ? 0 : 1;
+    if (result.isBusy || (result.problem.empty() && result.duration < slowPullTime))
         return;
     LogFields fields;
     fields.add("from", result.from).add("outcome", result.problem.empty() ? "received" : "failed");
@@ -102,13 +92,43 @@
     logEvent("pull", fields.add("revision", static_cast<int64_t>(m_state.content.revision())), LineClass::Change);
 }
 
-std::string GatewayHost::encodeForPeer(uint64_t after)
+Answer GatewayHost::answerPull(uint64_t after, std::string_view puller)
+{
+    auto now = base::BootClock::now();
+    Answer answer;
+    answer.fields = "Content-Type: application/cbor\r\n";
+    answer.status = m_state.content.hasList() ? 200 : 503;
+    if (!m_state.content.hasList())
+        return answer;
+    auto& encoded = m_encodedContent;
+    if (encoded.bytes.empty() || encoded.after != after || encoded.revision != m_state.content.revision()) {
+        encoded = { after, m_state.content.revision(), m_state.content.encode(after), now };
+        m_transfers.encodeTime += base::BootClock::now() - now;
+    }
+    encoded.usedAt = now;
+    if (encoded.bytes.size() > PeerLink::maxPushedBytes) {
+        auto number = m_contentTransfers->begin(std::string(puller), encoded.revision, now);
+        if (!number) {
+            answer.status = 503;
+            answer.fields = "Content-Type: application/json\r\n";
+            answer.body = PeerLink::busyAnswer(m_contentTransfers->receiversOf(after));
+            return answer;
+        }
+        answer.heldUntilReceived
+            = std::shared_ptr<void>(nullptr, [number = *number, weak = std::weak_ptr(m_contentTransfers)](void*) {
+                  if (auto transfers = weak.lock())
+                      transfers->end(number);
+              });
+    }
+    m_transfers.sentBytes += encoded.bytes.size();
+    answer.body = encoded.bytes;
+    return answer;
+}
+
+void GatewayHost::dropUnusedEncoding(base::TimePoint now)
 {
-    auto startedAt = base::BootClock::now();
-    auto content = m_state.content.encode(after);
-    m_transfers.encodeTime += base::BootClock::now() - startedAt;
-    m_transfers.sentBytes += content.size();
-    return content;
+    if (now - m_encodedContent.usedAt > encodedContentTime)
+        m_encodedContent = {};
 }
 
 void GatewayHost::pushChanges(uint64_t after)
@@ -235,42 +255,44 @@
     }
 }
 
-base::Duration GatewayHost::pullDelay(const fleet::Member& ahead) const
+void GatewayHost::pullIfBehind(base::TimePoint now)
 {
-    if (!m_state.content.hasList())
-        return base::Duration(0);
-    if (m_storeReader.isFollowing())
-        return readerPullDelay;
-    auto isDirectSource
-        = m_state.fleet.isSmall() || ahead.heartbeat.failureDomain == m_state.settings.host.failureDomain;
-    return isDirectSource ? base::Duration(0) : otherDomainPullDelay;
+    if (m_peerLink.isPulling())
+        return;
+    fleet::PullInputs inputs { m_state.content.revision(), m_state.content.hasList(), m_storeReader.isFollowing() };
+    if (auto address = fleet::choosePullSource(m_state.fleet, m_pullState, inputs, m_state.random, now))
+        m_peerLink.pull(*address, m_state.content.pullRevision());
 }
 
-void GatewayHost::pullIfBehind(base::TimePoint now)
+bool GatewayHost::applyPulledContent(const PullResult& result)
 {
-    // Chooses at random among the hosts with the shortest delay, so that not all hosts pull from the same one.
-    const fleet::Member* ahead = nullptr;
-    uint64_t candidates = 0;
-    for (const auto& [name, member] : m_state.fleet.members()) {
-        auto isAhead
-            = member.heartbeat.contentRevision > m_state.content.revision() && m_state.fleet.isAlive(member, now);
-        if (!isAhead || (ahead && pullDelay(member) > pullDelay(*ahead)))
-            continue;
-        if (!ahead || pullDelay(member) < pullDelay(*ahead))
-            candidates = 0;
-        ++candidates;
-        if (base::uniformIndex(m_state.random, candidates) == 0)
-            ahead = &member;
-    }
-    if (!ahead) {
-        m_behindSince = {};
-        return;
+    if (!result.problem.empty())
+        return false;
+    base::LastReason reason;
+    auto before = m_state.content.revision();
+    auto change = m_state.content.applyEncoded(result.content, base::BootClock::now(), reason);
+    if (!change) {
+        logRefusedMessage(reason.text, result.from);
+        return false;
     }
-    if (m_behindSince == base::TimePoint {})
-        m_behindSince = now;
-    if (now - m_behindSince < pullDelay(*ahead))
-        return;
-    m_peerLink.pull(ahead->heartbeat.peerAddress, m_state.content.pullRevision());
+    m_state.isStale = false;
+    handleContentChange(*change, "peer");
+    updateAfterContentChange();
+    return m_state.content.revision() > before;
+}
+
+void GatewayHost::pullAgain(const PullResult& result, bool hasAdvanced)
+{
+    auto now = base::BootClock::now();
+    if (hasAdvanced)
+        fleet::recordPull(m_pullState);
+    else
+        fleet::recordFruitlessPull(m_pullState, result.referrals, m_state.random, now);
+    m_pullTimer.expires_after(std::max(m_pullState.notBefore - now, base::Duration(0)));
+    m_pullTimer.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec)
+            pullIfBehind(base::BootClock::now());
+    });
 }
 
 void GatewayHost::checkPause(base::TimePoint now)
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -69,7 +69,9 @@
     , m_peerLink(io, m_state.fleet, seed + 2, peerEvents())
     , m_tickTimer(io)
     , m_stopTimer(io)
+    , m_pullTimer(io)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
+    , m_contentTransfers(std::make_shared<fleet::ContentTransfers>())
     , m_startedAt(base::BootClock::now())
 {
 }
@@ -152,11 +154,8 @@
     }
     if (address == listen.peers && target.starts_with(PeerLink::contentTarget)) {
         auto after = parseNumber(std::string_view(target).substr(PeerLink::contentTarget.size()));
-        Answer answer;
-        answer.status = !after ? 400 : m_state.content.hasList() ? 200 : 503;
-        answer.fields = "Content-Type: application/cbor\r\n";
-        answer.body = encodeForPeer(after.value_or(0));
-        request->answer(answer);
+        auto puller = toView(request->message[toBeast(PeerLink::pullerField)]);
+        request->answer(after ? answerPull(*after, puller) : plainAnswer(400, "the revision is not a number"));
         return true;
     }
     if (address == listen.metrics && target == "/metrics") {
@@ -213,6 +212,7 @@
     m_state.fleet.self().load = static_cast<uint32_t>(m_loadEstimate.perSecond);
     updateStoreReader(now);
     pullIfBehind(now);
+    dropUnusedEncoding(now);
     updateStage();
     if (++m_ticks % ticksPerCheck == 0) {
         reloadChangedFiles();
@@ -377,6 +377,7 @@
     counter("peer_sent_bytes_total", m_peerLink.sentBytes());
     counter("content_pulls_total", m_transfers.pulls);
     counter("content_pulls_failed_total", m_transfers.failedPulls);
+    counter("content_pulls_refused_total", m_transfers.refusedPulls);
     counter("content_pulled_bytes_total", m_transfers.pulledBytes);
     counter("content_sent_bytes_total", m_transfers.sentBytes);
     counter("content_encode_seconds_total", std::chrono::duration<double>(m_transfers.encodeTime).count());
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "papayabend/fleet/ContentPull.h"
+#include "papayabend/fleet/ContentTransfers.h"
 #include "papayabend/fleet/LoadEstimate.h"
 #include "papayabend/fleet/Roles.h"
 #include "papayabend/gateway/GatewayState.h"
@@ -53,18 +55,23 @@
     void logRefusedMessage(const std::string& reason, const std::string& from);
     /** Counts a pull, and logs it if it failed or was slow. */
     void logPull(const PullResult&);
-    /** Returns the answer to another host's pull. */
-    std::string encodeForPeer(uint64_t after);
+    /** Returns the answer to a pull of the changes after revision \a after by the host at \a puller: the content, or a
+     * refusal if it is large and enough transfers are in progress. */
+    Answer answerPull(uint64_t after, std::string_view puller);
+    /** Frees the encoded answer to pulls some time after its last use. */
+    void dropUnusedEncoding(base::TimePoint now);
+    /** Applies the content that a pull has brought; returns whether this host's revision has advanced. */
+    bool applyPulledContent(const PullResult&);
+    /** Records the end of a pull and schedules the next check whether to pull. */
+    void pullAgain(const PullResult&, bool hasAdvanced);
     void handleHeartbeats(const fleet::HeartbeatMessage&);
     /** Applies the changes that another host has sent with its heartbeat. */
     void applyPushedChanges(const fleet::HeartbeatMessage&);
-    /** Pulls the content of a host with a newer revision once this host has been behind for pullDelay(). */
+    /** Pulls the content of a host with a newer revision if fleet::choosePullSource() names one. */
     void pullIfBehind(base::TimePoint now);
     /** Detects that the process did not run for a while. Its content then counts as stale until a host or the store
      * answers. */
     void checkPause(base::TimePoint now);
-    /** How long this host must have been behind \a ahead before it pulls the content of that host. */
-    base::Duration pullDelay(const fleet::Member& ahead) const;
     /** Starts or stops reading the store, depending on whether this host is a reader. */
     void updateStoreReader(base::TimePoint now);
     /** Sends the changes after revision \a after to other hosts. */
@@ -98,12 +105,23 @@
      */
     struct TransferCounters {
         uint64_t pulls { 0 };
+        uint64_t refusedPulls { 0 }; /**< The other host was busy with other transfers. */
         uint64_t failedPulls { 0 };
         uint64_t pulledBytes { 0 };
         uint64_t sentBytes { 0 }; /**< In answers to the pulls of other hosts. */
         base::Duration encodeTime { 0 }; /**< Time spent encoding those answers. */
     };
 
+    /** \struct EncodedContent
+     * \brief The last answer to a pull; many hosts pull the same after a large change.
+     */
+    struct EncodedContent {
+        uint64_t after { 0 };
+        uint64_t revision { 0 };
+        std::string bytes;
+        base::TimePoint usedAt {};
+    };
+
     EventLog m_log;
     GatewayMetrics m_metrics;
     GatewayState m_state;
@@ -115,12 +133,15 @@
     std::vector<std::pair<std::string, std::unique_ptr<HttpListener>>> m_listeners;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_pullTimer;
     boost::asio::signal_set m_signals;
     membership::PauseDetector m_pauseDetector;
     TransferCounters m_transfers;
+    EncodedContent m_encodedContent;
+    std::shared_ptr<fleet::ContentTransfers> m_contentTransfers; /**< Open connections refer to it. */
+    fleet::PullState m_pullState;
     fleet::LoadEstimate m_loadEstimate;
     base::TimePoint m_startedAt {};
-    base::TimePoint m_behindSince {}; /**< Since when another live host has had newer content; default if none has. */
     base::TimePoint m_stopAt {};
     base::TimePoint m_resumedAt {};
     base::TimePoint m_storeUnreachableUntil {};
--- a/Source/papayabend/gateway/HttpListener.cpp
+++ b/Source/papayabend/gateway/HttpListener.cpp
@@ -136,6 +136,7 @@
         while (!input.empty() && (phase == Phase::Idle || phase == Phase::Reading)) {
             if (phase == Phase::Idle) {
                 phase = Phase::Reading;
+                heldUntilReceived.reset();
                 deadline = base::BootClock::now() + owner->limits.headerTimeout;
             }
             error_code ec;
@@ -215,6 +216,7 @@
         deadline = base::BootClock::now() + writeTimeout;
         closesAfterAnswer = owner->closesAfterAnswer || !keepsAlive;
         output = answerText(answer, isHead, closesAfterAnswer);
+        heldUntilReceived = answer.heldUntilReceived;
         error_code ec;
         auto n = socket.write_some(asio::buffer(output), ec);
         if (ec && ec != asio::error::would_block)
@@ -262,6 +264,7 @@
         socket.close(ec);
         auto unanswered = request;
         endRequest();
+        heldUntilReceived.reset();
         if (unanswered && unanswered->onClientLeft)
             unanswered->onClientLeft();
         owner->connections.erase(self);
@@ -284,6 +287,7 @@
     std::shared_ptr<ClientRequest> request;
     std::string input;
     std::string output;
+    std::shared_ptr<void> heldUntilReceived; // of the last answer
     base::TimePoint deadline {};
     Phase phase { Phase::Idle };
     bool isWaitingForInput { false };
--- a/Source/papayabend/gateway/HttpMessage.h
+++ b/Source/papayabend/gateway/HttpMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/beast/http.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,6 +31,9 @@
     std::string fields; /**< Header lines that each end with CRLF, without Content-Length and Connection. */
     std::string body;
     std::optional<std::string> declaredLength; /**< Content-Length of an answer to HEAD, which has no body. */
+    /** Kept until the client closes the connection or sends its next request, either of which shows that it has the
+     * answer. */
+    std::shared_ptr<void> heldUntilReceived;
 };
 
 /** Returns the bytes of \a answer. \a isHead: the request was HEAD. \a closes: adds "Connection: close". */
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -4,6 +4,7 @@
 #include "papayabend/gateway/Address.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace papayabend::gateway {
@@ -16,7 +17,24 @@
 
     // Most heartbeats in one datagram to a host that has just started.
     constexpr size_t maxHeartbeatsSent = 96;
-    constexpr std::chrono::seconds pullTimeout { 2 };
+    // A pull ends if nothing arrives for pullStallTime. The time for all of it depends on the links and the size, so
+    // its bound only ends pulls that would hardly ever be complete.
+    constexpr std::chrono::milliseconds pullStallTime { 1500 };
+    constexpr base::Duration maxPullTime { std::chrono::seconds(10) };
+    constexpr unsigned statusBusy = 503;
+
+    std::vector<std::string> parseReferrals(const std::string& body)
+    {
+        auto value = nlohmann::json::parse(body, nullptr, false);
+        std::vector<std::string> addresses;
+        if (!value.is_object() || !value.contains("referrals"))
+            return addresses;
+        for (const auto& it : value["referrals"]) {
+            if (it.is_string())
+                addresses.push_back(it.get<std::string>());
+        }
+        return addresses;
+    }
 
 }
 
@@ -141,35 +159,65 @@
     });
 }
 
+std::string PeerLink::busyAnswer(std::span<const std::string> referrals)
+{
+    return nlohmann::json({ { "error", "too many transfers of content" }, { "referrals", referrals } }).dump();
+}
+
+void PeerLink::watchPull(
+    const std::shared_ptr<asio::steady_timer>& timer, base::TimePoint startedAt, uint64_t receivedBytes)
+{
+    timer->expires_after(pullStallTime);
+    timer->async_wait(
+        [this, timer, startedAt, receivedBytes, watched = std::weak_ptr(m_pullConnection)](const error_code& ec) {
+            auto connection = watched.lock();
+            if (ec || !connection)
+                return;
+            if (connection->receivedBytes() == receivedBytes)
+                return connection->close("the host sent nothing for too long");
+            if (base::BootClock::now() - startedAt > maxPullTime)
+                return connection->close("the transfer took too long");
+            watchPull(timer, startedAt, connection->receivedBytes());
+        });
+}
+
+void PeerLink::endPull(PullResult result)
+{
+    result.receivedBytes = std::exchange(m_pullConnection, nullptr)->receivedBytes();
+    m_events.pullEnded(result);
+}
+
 void PeerLink::pull(const std::string& address, uint64_t revision)
 {
     auto endpoint = tcpEndpoint(address);
     if (m_pullConnection || !endpoint)
         return;
     m_pullConnection = std::make_shared<HttpConnection>(m_io);
-    auto timer = std::make_shared<asio::steady_timer>(m_io, pullTimeout);
-    timer->async_wait([connection = std::weak_ptr(m_pullConnection)](const error_code& ec) {
-        auto locked = connection.lock();
-        if (!ec && locked)
-            locked->close("the host did not answer the pull in time");
-    });
-    auto finish = [this, timer, address, startedAt = base::BootClock::now()](std::string problem, std::string content) {
+    auto startedAt = base::BootClock::now();
+    auto timer = std::make_shared<asio::steady_timer>(m_io);
+    watchPull(timer, startedAt, 0);
+    auto finish = [this, timer, startedAt](PullResult result) {
         timer->cancel();
-        auto receivedBytes = std::exchange(m_pullConnection, nullptr)->receivedBytes();
-        m_events.pullEnded(
-            { address, std::move(problem), std::move(content), receivedBytes, base::BootClock::now() - startedAt });
+        result.duration = base::BootClock::now() - startedAt;
+        endPull(std::move(result));
     };
     m_pullConnection->open(*endpoint, [this, address, revision, finish](const std::string& problem) {
         if (!problem.empty())
-            return finish(problem, {});
+            return finish({ .from = address, .problem = problem });
         auto target = std::string(contentTarget) + std::to_string(revision);
-        auto request = requestText("GET", target, "Host: " + address + "\r\n", {}, false);
-        m_pullConnection->send(request, {}, {}, false, [finish](const CallResult& result) {
+        auto fields
+            = "Host: " + address + "\r\n" + std::string(pullerField) + ": " + m_fleet.self().peerAddress + "\r\n";
+        auto request = requestText("GET", target, fields, {}, false);
+        m_pullConnection->send(request, {}, {}, false, [address, finish](const CallResult& result) {
             if (result.end != CallEnd::Answered)
-                return finish(result.reason, {});
-            if (result.answer.result_int() != 200)
-                return finish("status " + std::to_string(result.answer.result_int()), {});
-            finish({}, result.answer.body());
+                return finish({ .from = address, .problem = result.reason });
+            auto status = result.answer.result_int();
+            if (status == 200)
+                return finish({ .from = address, .content = result.answer.body() });
+            finish({ .from = address,
+                .problem = "status " + std::to_string(status),
+                .isBusy = status == statusBusy,
+                .referrals = parseReferrals(result.answer.body()) });
         });
     });
 }
--- a/Source/papayabend/gateway/PeerLink.h
+++ b/Source/papayabend/gateway/PeerLink.h
@@ -23,6 +23,8 @@
     std::string from; /**< Peer address of the other host. */
     std::string problem; /**< Why there is no content; empty on success. */
     std::string content;
+    bool isBusy { false }; /**< The other host has refused, since it sends its content to enough hosts already. */
+    std::vector<std::string> referrals; /**< Peer addresses of hosts that a busy host has named instead. */
     uint64_t receivedBytes { 0 };
     base::Duration duration { 0 };
 };
@@ -48,6 +50,8 @@
     /** Start of the request target at which a host serves its content to other hosts; a revision follows, after which
      * the changes are returned. */
     static constexpr std::string_view contentTarget = "/content?after=";
+    /** Header field in which a host that pulls states its peer address. */
+    static constexpr std::string_view pullerField = "Peer-Address";
     /** Changes up to this size are sent with a heartbeat; hosts that lack larger ones pull them. */
     static constexpr size_t maxPushedBytes = 8 * 1024;
 
@@ -64,6 +68,9 @@
     void sendKnownHosts(const std::string& address);
     /** Requests the changes after \a revision from the host at \a address, unless a pull is in progress. */
     void pull(const std::string& address, uint64_t revision);
+    bool isPulling() const { return m_pullConnection != nullptr; }
+    /** Returns the body of the answer to a pull that is refused, which names \a referrals. */
+    static std::string busyAnswer(std::span<const std::string> referrals);
     uint64_t sentBytes() const { return m_sentBytes; }
     /** Number of datagrams that could not be decoded. */
     uint64_t refusedMessages() const { return m_refusedMessages; }
@@ -74,6 +81,10 @@
     fleet::HeartbeatMessage ownMessage() const;
     void send(const std::string& bytes, const std::string& address);
     void receive();
+    /** Ends the pull if it makes no progress, or takes too long in all. */
+    void watchPull(
+        const std::shared_ptr<boost::asio::steady_timer>&, base::TimePoint startedAt, uint64_t receivedBytes);
+    void endPull(PullResult);
 
     boost::asio::io_context& m_io;
     fleet::FleetView& m_fleet;
