gateway: Skip changed rows that are older than the stored configuration

While the answer was on its way, a pushed heartbeat had brought a newer configuration, so the base of the late rows was gone although nothing was missing. The host then pulled everything, three times the bytes, while the links were busy.

Rows of a revision that is not newer than the stored one are skipped now, like whole items are. Content.ChangedRowsOlderThanTheStoredValueAreSkipped failed before at the repeated answer.

--- a/Source/papayabend/gateway/Content.cpp
+++ b/Source/papayabend/gateway/Content.cpp
@@ -170,6 +170,9 @@
         for (const auto& item : message.at(2)) {
             auto value = item.at(1).get<std::string>();
             if (item.size() == changedRowsFieldCount) {
+                auto stored = m_items.find(item.at(0).get<std::string>());
+                if (stored != m_items.end() && stored->second.revision >= item.at(2).get<uint64_t>())
+                    continue;
                 auto whole = applyChangedRows(item.at(4).get<uint64_t>(), item.at(5).get<uint64_t>(), value, reason);
                 m_lacksBaseValue = !whole;
                 if (!whole)
--- a/Tests/gateway/ContentTest.cpp
+++ b/Tests/gateway/ContentTest.cpp
@@ -194,3 +194,21 @@
     LONGS_EQUAL(3, target.configuration()->version);
     LONGS_EQUAL(9, target.pullRevision());
 }
+
+// Guards against pulling the full content because a pushed change has overtaken the answer to a pull.
+TEST(Content, ChangedRowsOlderThanTheStoredValueAreSkipped)
+{
+    adapter.parseConfiguration = parseRows;
+    Content source(adapter);
+    apply(source, { { "configuration", rowsOf(1, -1), 4 } });
+    Content target(adapter);
+    target.applyEncoded(source.encode(0), now, reason);
+    apply(source, { { "configuration", rowsOf(2, 7), 6 } });
+    auto overtaken = source.encode(4);
+    target.applyEncoded(overtaken, now, reason);
+    apply(source, { { "configuration", rowsOf(3, 8), 9 } });
+    CHECK_TRUE(target.applyEncoded(source.encode(6), now, reason).has_value());
+    CHECK_TRUE(target.applyEncoded(overtaken, now, reason).has_value());
+    LONGS_EQUAL(3, target.configuration()->version);
+    LONGS_EQUAL(9, target.pullRevision());
+}
