gateway: Let an answer of the store that makes progress go on

The call now ends when nothing arrives for its timeout, later for one second, or after 10 s in all. StoreReader.AnswerThatMakesProgressIsNotAbandoned failed before ('the store did not answer in time'); AnswerThatStopsIsAbandoned guards the other side.

--- a/Source/papayabend/gateway/StoreReader.cpp
+++ b/Source/papayabend/gateway/StoreReader.cpp
@@ -14,6 +14,9 @@
     // answer.
     constexpr base::Duration watchTimeout { std::chrono::seconds(3) };
     constexpr base::Duration watchSlack { std::chrono::seconds(1) };
+    // An answer that has begun may take longer, as over a busy link, if a part of it arrives within each stall time.
+    constexpr base::Duration answerStallTime { std::chrono::seconds(1) };
+    constexpr base::Duration maxCallTime { std::chrono::seconds(10) };
     // Changes often come in series. With a delay after each answer, the next call returns several of them.
     constexpr base::Duration batchDelay { std::chrono::milliseconds(150) };
     // Delays after failed calls. They double from the minimum to the maximum; each is varied at random by up to 25 %.
@@ -72,11 +75,7 @@
 
 void StoreReader::startCall(const std::string& target, base::Duration timeout)
 {
-    m_callTimer.expires_after(timeout);
-    m_callTimer.async_wait([this](const boost::system::error_code& ec) {
-        if (!ec && m_connection)
-            m_connection->close("the store did not answer in time");
-    });
+    watchCall(timeout, 0, base::BootClock::now());
     if (m_connection && m_connection->isIdle())
         return sendRequest(target);
     auto endpoint = tcpEndpoint(m_address);
@@ -92,6 +91,19 @@
     });
 }
 
+void StoreReader::watchCall(base::Duration timeout, uint64_t receivedBytes, base::TimePoint startedAt)
+{
+    m_callTimer.expires_after(timeout);
+    m_callTimer.async_wait([this, receivedBytes, startedAt](const boost::system::error_code& ec) {
+        if (ec || !m_connection)
+            return;
+        auto received = m_connection->receivedBytes();
+        if (received == receivedBytes || base::BootClock::now() - startedAt > maxCallTime)
+            return m_connection->close("the store did not answer in time");
+        watchCall(answerStallTime, received, startedAt);
+    });
+}
+
 void StoreReader::sendRequest(const std::string& target)
 {
     ++m_calls;
--- a/Source/papayabend/gateway/StoreReader.h
+++ b/Source/papayabend/gateway/StoreReader.h
@@ -54,6 +54,8 @@
 private:
     void startNextCall();
     void startCall(const std::string& target, base::Duration timeout);
+    /** Ends the call if \a timeout passes without more bytes than \a receivedBytes, or if it takes too long in all. */
+    void watchCall(base::Duration timeout, uint64_t receivedBytes, base::TimePoint startedAt);
     void sendRequest(const std::string& target);
     void scheduleNextCall(base::Duration);
     void handleAnswer(const CallResult&);
--- a/Tests/gateway/PeerLinkTest.cpp
+++ b/Tests/gateway/PeerLinkTest.cpp
@@ -17,8 +17,8 @@
     fleet::FleetView fleet { fleet::Heartbeat {} };
     std::unique_ptr<PeerLink> link;
     std::unique_ptr<tcp::socket> peer;
-    asio::steady_timer timer { io };
     std::optional<PullResult> result;
+    PieceSender sender { io };
 
     void setup() override
     {
@@ -35,20 +35,6 @@
         acceptor.async_accept(*peer, [](const boost::system::error_code&) {});
     }
 
-    // Sends the pieces one after the other with a pause before each.
-    void sendPieces(std::vector<std::string> pieces, std::chrono::milliseconds pause)
-    {
-        if (pieces.empty())
-            return;
-        timer.expires_after(pause);
-        timer.async_wait([this, pieces = std::move(pieces), pause](const boost::system::error_code&) mutable {
-            boost::system::error_code ec;
-            asio::write(*peer, asio::buffer(pieces.front()), ec);
-            pieces.erase(pieces.begin());
-            sendPieces(std::move(pieces), pause);
-        });
-    }
-
     void runUntilEnded(base::Duration longest)
     {
         auto end = base::BootClock::now() + longest;
@@ -61,7 +47,7 @@
 TEST(PeerLink, PullThatMakesProgressIsNotAbandoned)
 {
     pull();
-    sendPieces({ "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "aa", "bb", "cc", "dd", "ee", "ff" }, 400ms);
+    sender.send(*peer, { "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "aa", "bb", "cc", "dd", "ee", "ff" }, 400ms);
     runUntilEnded(10s);
     CHECK_TRUE(result.has_value());
     STRCMP_EQUAL("", result->problem.c_str());
--- /dev/null
+++ b/Tests/gateway/StoreReaderTest.cpp
@@ -0,0 +1,65 @@
+#include "papayabend/gateway/StoreReader.h"
+
+#include "gateway/LoopbackFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace papayabend;
+using namespace papayabend::gateway;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+TEST_GROUP(StoreReader)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor { io, tcp::endpoint(asio::ip::address_v4::loopback(), 0) };
+    tcp::socket store { io };
+    PieceSender sender { io };
+    PlatformAdapter adapter {};
+    std::unique_ptr<StoreReader> reader;
+    std::string listed;
+    std::string problem;
+
+    void setup() override
+    {
+        adapter.listTarget = [](std::string_view, std::string_view) { return std::string("/list"); };
+        adapter.watchTarget = [](std::string_view, uint64_t, base::Duration) { return std::string("/watch"); };
+        adapter.parsePage = [](std::string_view body, base::LastReason&) {
+            return std::optional(StorePage { { { std::string(body), "", 1 } }, false, 1 });
+        };
+        StoreEvents events;
+        events.pageReceived = [this](const StorePage& page) { listed = page.items.front().key; };
+        events.listCompleted = [](const std::set<std::string>&, uint64_t) {};
+        events.regained = [] {};
+        events.lost = [this](const std::string& reason) { problem = reason; };
+        auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        reader = std::make_unique<StoreReader>(io, adapter, address, 1, events);
+        acceptor.async_accept(store, [](const boost::system::error_code&) {});
+        reader->follow(std::nullopt);
+    }
+
+    void runUntilListedOrLost()
+    {
+        auto end = base::BootClock::now() + 10s;
+        while (listed.empty() && problem.empty() && base::BootClock::now() < end)
+            io.run_for(20ms);
+    }
+};
+
+// Guards against asking again from the start while an answer of the store is slow but goes on, as over a busy link.
+TEST(StoreReader, AnswerThatMakesProgressIsNotAbandoned)
+{
+    sender.send(store, { "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n", "aa", "bb", "cc", "dd", "ee", "ff" }, 400ms);
+    runUntilListedOrLost();
+    STRCMP_EQUAL("", problem.c_str());
+    STRCMP_EQUAL("aabbccddeeff", listed.c_str());
+}
+
+// Guards against waiting for a store that has stopped in the middle of its answer.
+TEST(StoreReader, AnswerThatStopsIsAbandoned)
+{
+    sender.send(store, { "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\naa" }, 1ms);
+    runUntilListedOrLost();
+    STRCMP_EQUAL("the store did not answer in time", problem.c_str());
+}
