dispatch: Read the limits that upstreams name and log their changes

Nothing read Server-Limit, and the log did not say that an upstream had named one. platform/ decodes the field into UpstreamReport::requestLimit; a value that is not a decimal number of at least 0 is ignored with a line. UpstreamLimits keeps the newest limit of an upstream process, a line 'limit' is written when it changes, and the gauge upstreams_limited counts them. No request is held back yet. Decode.LimitOfAnUpstream covers odd values.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -282,6 +282,9 @@
         return false;
     }
     auto status = result.answer.result_int();
+    // Another upstream answers with 421; it says nothing about the one that the attempt was meant for.
+    if (status != 421)
+        recordUpstreamLimit(subrequest, attempt, result.answer);
     auto hasNotRun = status == 421 || !fieldOf(result.answer, m_state.adapter.headers.notExecuted).empty();
     if (hasNotRun) {
         ++subrequest.history.provenNotRun;
@@ -302,6 +305,26 @@
     return false;
 }
 
+void Exchange::recordUpstreamLimit(const Subrequest& subrequest, const Attempt& attempt, const HttpResponse& answer)
+{
+    const auto* entry = m_state.content.upstreams().find(attempt.upstream);
+    if (!entry)
+        return;
+    auto now = base::BootClock::now();
+    auto report = m_state.adapter.parseUpstreamReport(answer);
+    LogFields fields;
+    fields.add("upstream", attempt.upstream).add("service", subrequest.service);
+    if (!report.problem.empty())
+        return m_state.log.write(LineClass::Change, "refused", fields.add("reason", report.problem), now);
+    auto key = dispatch::UpstreamLimits::keyOf(attempt.upstream, entry->record.startedAt);
+    if (!m_state.limits.observe(key, report.requestLimit, now))
+        return;
+    fields.add("state", report.requestLimit ? "limited" : "unlimited");
+    if (report.requestLimit)
+        fields.add("milliRequestsPerSecond", static_cast<int64_t>(*report.requestLimit * 1000));
+    m_state.log.write(LineClass::Change, "limit", fields, now);
+}
+
 void Exchange::attemptEnded(Subrequest& subrequest, const Attempt& attempt, CallResult result)
 {
     --subrequest.history.inFlight;
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -78,6 +78,8 @@
     /** Updates the upstream's load, latency and crash records with the result of an attempt; returns whether the
      * attempt is proven not to have run. */
     bool recordAttemptResult(Subrequest&, const Attempt&, const CallResult&);
+    /** Records the limit that the upstream has named in its answer, and logs it if it has changed. */
+    void recordUpstreamLimit(const Subrequest&, const Attempt&, const HttpResponse&);
     /** Accepts an upstream's answer or retries. Answers with a content encoding are not accepted. A signed success is
      * accepted, in a fan-out unless its signature was seen before. For a single service, a status of 300 to 499 is also
      * accepted unless it means that the request has not run. */
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -363,6 +363,7 @@
     gauge("hosts_known", m_state.fleet.members().size() + 1);
     gauge("hosts_live", m_state.fleet.liveHosts(now));
     gauge("upstreams_known", m_state.content.upstreams().entries().size());
+    gauge("upstreams_limited", m_state.limits.count(now));
     gauge("upstream_connections", m_state.pool.openConnections());
     size_t connections = 0;
     size_t requests = 0;
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include "papayabend/dispatch/CrashSuspects.h"
 #include "papayabend/dispatch/LatencyEstimate.h"
 #include "papayabend/dispatch/RetryBudget.h"
+#include "papayabend/dispatch/UpstreamLimits.h"
 #include "papayabend/fleet/BudgetShare.h"
 #include "papayabend/fleet/FleetView.h"
 #include "papayabend/gateway/Content.h"
@@ -40,6 +41,7 @@
     dispatch::RetryBudget budget;
     fleet::BudgetShare budgetShare;
     dispatch::CrashSuspects suspects;
+    dispatch::UpstreamLimits limits;
     dispatch::ConcurrencyLimiter limiter;
     routes::SplitChoice split;
     std::unordered_map<std::string, dispatch::LatencyEstimate> latency; /**< By route name. */
--- a/Source/papayabend/gateway/PlatformAdapter.h
+++ b/Source/papayabend/gateway/PlatformAdapter.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/LastReason.h"
 #include "papayabend/discovery/UpstreamDirectory.h"
+#include "papayabend/gateway/HttpMessage.h"
 #include "papayabend/routes/Configuration.h"
 
 #include <cstdint>
@@ -52,6 +53,14 @@
     std::string failureDomain;
 };
 
+/** \struct UpstreamReport
+ * \brief What an upstream says about itself in an answer.
+ */
+struct UpstreamReport {
+    std::optional<double> requestLimit; /**< Requests per second that it takes from all hosts together. */
+    std::string problem; /**< A field that cannot be used, with the reason; empty if there is none. */
+};
+
 /** \struct PlatformAdapter
  * \brief Names and formats of the platform: header fields, store keys and calls, and entry requests.
  *
@@ -73,6 +82,7 @@
     std::string (*watchTarget)(std::string_view prefix, uint64_t revision, base::Duration wait);
     std::optional<StorePage> (*parsePage)(std::string_view body, base::LastReason&);
     std::optional<StorePage> (*parseEvents)(std::string_view body, base::LastReason&);
+    UpstreamReport (*parseUpstreamReport)(const HttpResponse&);
     /** Parses the target of a request for addresses; returns nothing if it is another kind of request. */
     std::optional<EntryRequest> (*parseEntryRequest)(std::string_view target);
     /** Returns the body of the answer to an EntryRequest. */
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -30,6 +30,12 @@
     return record;
 }
 
+UpstreamReport parseUpstreamReport(const HttpResponse& answer)
+{
+    auto limit = fieldOf(answer, "X-Limit");
+    return { limit.empty() ? std::nullopt : std::optional(std::stod(std::string(limit))) };
+}
+
 PlatformAdapter testAdapter()
 {
     PlatformAdapter adapter;
@@ -38,6 +44,7 @@
     adapter.upstreamPrefix = "upstreams/";
     adapter.parseConfiguration = parseConfiguration;
     adapter.parseUpstream = parseUpstream;
+    adapter.parseUpstreamReport = parseUpstreamReport;
     return adapter;
 }
 
--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -120,3 +120,22 @@
     CHECK_FALSE(platform::parsePage("<html>", reason).has_value());
     CHECK_FALSE(platform::parsePage(R"({"items":[{"key":"k"}],"as-of":1})", reason).has_value());
 }
+
+// Guards against an odd limit of an upstream that stops all requests to it, or that overflows.
+TEST(Decode, LimitOfAnUpstream)
+{
+    auto reportOf = [](const char* limit) {
+        gateway::HttpResponse answer;
+        answer.insert("Server-Limit", limit);
+        return platform::parseUpstreamReport(answer);
+    };
+    DOUBLES_EQUAL(22.5, *reportOf("22.5").requestLimit, 0);
+    DOUBLES_EQUAL(0, *reportOf("0").requestLimit, 0);
+    CHECK_TRUE(*reportOf("1e300").requestLimit <= 1e6);
+    for (const auto* text : { "", "-1", "nan", "inf", "1e999", "12 a second", "twelve", "0x10" }) {
+        CHECK_FALSE(reportOf(text).requestLimit.has_value());
+        CHECK_TRUE(reportOf(text).problem.starts_with("Server-Limit is not a decimal number"));
+    }
+    CHECK_FALSE(platform::parseUpstreamReport({}).requestLimit.has_value());
+    STRCMP_EQUAL("", platform::parseUpstreamReport({}).problem.c_str());
+}
