dispatch: Keep the fleet within the limits that upstreams name

Cause: no decision used the limit, and a bound that each host keeps for itself would not hold for the fleet.

Change: a token bucket for each upstream with a limit; the host's part follows from the demand that all hosts state in their heartbeats. What a host has heard travels with the heartbeats. A request that the limits do not admit is refused before any upstream is asked, with the time until they do, and hedges do not go to upstreams with a limit.

--- a/Source/papayabend/dispatch/ChooseUpstream.h
+++ b/Source/papayabend/dispatch/ChooseUpstream.h
@@ -41,6 +41,7 @@
     const UpstreamLoad* load { nullptr };
     bool isTried { false }; /**< An attempt of this request has already been sent to it. */
     bool isRemote { false }; /**< It is in another failure domain than this host. */
+    bool isAtLimit { false }; /**< The limit that it has named leaves no request for this attempt now. */
 };
 
 /** \struct ChoiceInputs
@@ -74,7 +75,8 @@
 /** Records that another upstream answered at the address of this one. */
 void addMisdirection(UpstreamLoad&, base::TimePoint now);
 
-/** Returns whether the request may be sent to the upstream: not if it was tried or is draining, gone or misdirected. */
+/** Returns whether the request may be sent to the upstream: not if it was tried or is draining, gone, misdirected or at
+ * its limit. */
 bool isUsable(const Candidate&, base::TimePoint now);
 
 /** Returns how many of the upstreams of a service a request may be sent to.
--- a/Source/papayabend/fleet/FleetView.h
+++ b/Source/papayabend/fleet/FleetView.h
@@ -35,6 +35,7 @@
     bool isStoreUnreachable { false }; /**< The store has recently failed to answer it. */
     uint32_t capacity { 1 }; /**< Processor time available to it, in thousandths of a core. */
     uint32_t load { 0 }; /**< Attempts per second that it sends to upstreams, see LoadEstimate. */
+    uint32_t demand { 0 }; /**< First attempts per second that its callers ask for, also those that it refuses. */
 };
 
 /** \struct Member
--- a/Source/papayabend/fleet/HeartbeatCodec.cpp
+++ b/Source/papayabend/fleet/HeartbeatCodec.cpp
@@ -9,6 +9,9 @@
 
     using nlohmann::json;
 
+    // Stands for an upstream that names no limit.
+    constexpr double noLimit = -1;
+
     // A heartbeat is encoded as an array, which is shorter than an object; its elements are the members of Heartbeat in
     // their order.
     json toJson(const Heartbeat& heartbeat)
@@ -16,19 +19,18 @@
         return json::array({ heartbeat.name, heartbeat.callerAddress, heartbeat.peerAddress, heartbeat.failureDomain,
             heartbeat.incarnation, heartbeat.sequence, static_cast<unsigned>(heartbeat.stage),
             heartbeat.configurationVersion, heartbeat.contentRevision, heartbeat.isStoreUnreachable, heartbeat.capacity,
-            heartbeat.load });
+            heartbeat.load, heartbeat.demand });
     }
 
     Heartbeat heartbeatOf(const json& value)
     {
-        // Hosts of the previous version do not send the load.
-        constexpr size_t loadIndex = 11;
-        auto load = value.size() > loadIndex ? value.at(loadIndex).get<uint32_t>() : 0;
+        // Hosts of previous versions do not send the load and the demand.
+        auto laterField = [&value](size_t index) { return value.size() > index ? value.at(index).get<uint32_t>() : 0; };
         auto stage = std::min(value.at(6).get<unsigned>(), static_cast<unsigned>(HostStage::Leaving));
         return { value.at(0).get<std::string>(), value.at(1).get<std::string>(), value.at(2).get<std::string>(),
             value.at(3).get<std::string>(), value.at(4).get<uint64_t>(), value.at(5).get<uint64_t>(),
             static_cast<HostStage>(stage), value.at(7).get<uint64_t>(), value.at(8).get<uint64_t>(),
-            value.at(9).get<bool>(), value.at(10).get<uint32_t>(), load };
+            value.at(9).get<bool>(), value.at(10).get<uint32_t>(), laterField(11), laterField(12) };
     }
 
 }
@@ -41,8 +43,11 @@
     auto crashes = json::array();
     for (const auto& notice : message.crashes)
         crashes.push_back(json::array({ notice.fingerprint, notice.crashes }));
+    auto limits = json::array();
+    for (const auto& notice : message.limits)
+        limits.push_back(json::array({ notice.upstream, notice.perSecond.value_or(noLimit), notice.age.count() }));
     std::string bytes;
-    json::to_cbor(json::array({ heartbeats, crashes, message.changes }), bytes);
+    json::to_cbor(json::array({ heartbeats, crashes, message.changes, limits }), bytes);
     return bytes;
 }
 
@@ -56,6 +61,14 @@
         for (const auto& notice : value.at(1))
             message.crashes.push_back({ notice.at(0).get<uint64_t>(), notice.at(1).get<uint32_t>() });
         message.changes = value.at(2).get<std::string>();
+        constexpr size_t limitsIndex = 3;
+        if (value.size() <= limitsIndex)
+            return message;
+        for (const auto& notice : value.at(limitsIndex)) {
+            auto limit = notice.at(1).get<double>();
+            message.limits.push_back({ notice.at(0).get<uint64_t>(), limit >= 0 ? std::optional(limit) : std::nullopt,
+                base::Duration(notice.at(2).get<int64_t>()) });
+        }
         return message;
     } catch (const json::exception& error) {
         return base::fail(reason, std::string("not a heartbeat message: ") + error.what());
--- a/Source/papayabend/fleet/HeartbeatCodec.h
+++ b/Source/papayabend/fleet/HeartbeatCodec.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/LastReason.h"
 #include "papayabend/dispatch/CrashSuspects.h"
+#include "papayabend/dispatch/UpstreamLimits.h"
 #include "papayabend/fleet/FleetView.h"
 
 #include <optional>
@@ -18,6 +19,7 @@
     std::vector<Heartbeat> heartbeats;
     std::vector<dispatch::CrashNotice> crashes;
     std::string changes; /**< Changes of the store's content as gateway::Content encodes them; usually empty. */
+    std::vector<dispatch::LimitNotice> limits;
 };
 
 /** Returns the datagram in CBOR. */
--- a/Source/papayabend/fleet/LoadEstimate.h
+++ b/Source/papayabend/fleet/LoadEstimate.h
@@ -22,6 +22,6 @@
 constexpr base::Duration loadHalfLife { std::chrono::seconds(20) };
 
 /** Updates the estimate with the value of the counter at \a now. */
-void observe(LoadEstimate&, uint64_t count, base::TimePoint now);
+void observe(LoadEstimate&, uint64_t count, base::TimePoint now, base::Duration halfLife = loadHalfLife);
 
 }
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -22,6 +22,8 @@
     constexpr base::Duration minConnectionWait { std::chrono::milliseconds(20) };
     // Pause before the next try for a hedge that found no retry budget or no upstream.
     constexpr base::Duration hedgeRetryPause { std::chrono::milliseconds(10) };
+    // The same while upstreams name limits, which last longer.
+    constexpr base::Duration limitedHedgeRetryPause { std::chrono::milliseconds(50) };
     // A draining upstream still serves for a while; it is used for this long if the service has no other.
     constexpr base::Duration drainingUseTime { std::chrono::milliseconds(1000) };
     // Retry-After while the process starts, stops or refreshes its content.
@@ -60,6 +62,7 @@
     } else {
         m_subrequests.emplace_back().service = m_state.split.next(*m_route);
     }
+    m_state.wantedAttempts += m_subrequests.size();
     if (!admit(now))
         return;
     for (auto& subrequest : m_subrequests)
@@ -67,6 +70,9 @@
     if (!isServable())
         return refuse(503, "no_upstream", "too few of the services or shards have a usable upstream",
             minRetryAfter + retryAfterSpread);
+    if (auto wait = limitWait(now); wait.count() > 0)
+        return refuse(503, "at_limit", "the upstreams have named limits that admit no more requests now",
+            std::max(wait, minRetryAfter));
     if (isFanOut()) {
         if (!m_state.limiter.tryAcquire(m_route->shards.front(), m_trafficClass, now))
             return refuse(503, "overload",
@@ -176,7 +182,45 @@
 
 base::Duration Exchange::maxConnectionWait() const { return std::max(m_hedgeDelay / 2, minConnectionWait); }
 
-bool Exchange::tryAttempt(Subrequest& subrequest, const char* cause)
+bool Exchange::isAtLimit(const discovery::UpstreamRecord& record, bool isHedge, base::TimePoint now) const
+{
+    if (m_state.limits.isEmpty())
+        return false;
+    auto key = dispatch::UpstreamLimits::keyOf(record.id, record.startedAt);
+    if (isHedge)
+        return m_state.limits.limitOf(key, now).has_value();
+    return m_state.limits.waitFor(key, m_state.limitShare, now).count() > 0;
+}
+
+base::Duration Exchange::limitWait(base::TimePoint now) const
+{
+    if (m_state.limits.isEmpty())
+        return base::Duration(0);
+    std::vector<base::Duration> waits;
+    for (const auto& subrequest : m_subrequests) {
+        std::optional<base::Duration> shortest;
+        for (const auto* entry : m_state.content.upstreams().of(subrequest.service)) {
+            if (!dispatch::isUsable({ entry, &m_state.pool.load(entry->record.id) }, now))
+                continue;
+            auto key = dispatch::UpstreamLimits::keyOf(entry->record.id, entry->record.startedAt);
+            auto wait = m_state.limits.waitFor(key, m_state.limitShare, now);
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+        if (shortest)
+            waits.push_back(*shortest);
+    }
+    std::ranges::sort(waits);
+    // The shortest wait after which enough subrequests find an upstream.
+    auto total = static_cast<uint32_t>(m_subrequests.size());
+    auto minShare = isFanOut() ? m_route->minShardShare : 1;
+    for (uint32_t n = 0; n < waits.size(); ++n) {
+        if (dispatch::isEnough(n + 1, total, minShare))
+            return waits[n];
+    }
+    return base::Duration(0);
+}
+
+bool Exchange::tryAttempt(Subrequest& subrequest, const char* cause, bool isHedge)
 {
     auto now = base::BootClock::now();
     std::vector<dispatch::Candidate> candidates;
@@ -187,14 +231,15 @@
     for (const auto* entry : entries) {
         auto isTried = std::ranges::find(subrequest.tried, entry->record.id) != subrequest.tried.end();
         auto isRemote = entry->record.failureDomain != m_state.settings.host.failureDomain;
-        candidates.push_back({ entry, &m_state.pool.load(entry->record.id), isTried, isRemote });
+        candidates.push_back(
+            { entry, &m_state.pool.load(entry->record.id), isTried, isRemote, isAtLimit(entry->record, isHedge, now) });
         hasUndrained = hasUndrained || (!entry->record.isDraining && entry->presence == discovery::Presence::Listed);
     }
     auto medianLatency = base::Duration(static_cast<int64_t>(m_latency->median));
     auto choice = dispatch::chooseUpstream(candidates, { medianLatency, m_hedgeDelay, now });
     if (!choice && !hasUndrained) {
         auto it = std::ranges::find_if(candidates, [now](const auto& each) {
-            return !each.isTried && each.entry->presence == discovery::Presence::Listed
+            return !each.isTried && !each.isAtLimit && each.entry->presence == discovery::Presence::Listed
                 && each.load->misdirectedUntil <= now && now - each.entry->changedAt < drainingUseTime;
         });
         if (it != candidates.end())
@@ -213,6 +258,8 @@
         m_state.metrics.extraAttempt(cause);
     }
     const auto& record = candidates[*choice].entry->record;
+    if (!m_state.limits.isEmpty())
+        m_state.limits.take(dispatch::UpstreamLimits::keyOf(record.id, record.startedAt), m_state.limitShare, now);
     auto attempt = createAttempt(subrequest, record);
     subrequest.tried.push_back(record.id);
     subrequest.attempts.push_back(attempt);
@@ -422,8 +469,8 @@
         replaceWaitingAttempt(subrequest, now);
         auto mayHedge = !isFanOut() || !m_state.limiter.isOverloaded(m_route->shards.front());
         if (mayHedge && now >= subrequest.noHedgeUntil && dispatch::isHedgeDue(policy(), subrequest.history, now)
-            && !tryAttempt(subrequest, "late"))
-            subrequest.noHedgeUntil = now + hedgeRetryPause;
+            && !tryAttempt(subrequest, "late", true))
+            subrequest.noHedgeUntil = now + (m_state.limits.isEmpty() ? hedgeRetryPause : limitedHedgeRetryPause);
     }
     m_isStartingAttempts = false;
 }
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -65,11 +65,16 @@
     bool readRequest();
     /** Returns whether enough of the shards, or the one service, have a usable upstream. */
     bool isServable() const;
+    /** Returns whether the limit of the upstream allows no attempt now. A hedge is allowed at none that has a limit. */
+    bool isAtLimit(const discovery::UpstreamRecord&, bool isHedge, base::TimePoint now) const;
+    /** Returns the time until the limits of the upstreams admit enough of the shards, or the one service; 0 if they do
+     * now. */
+    base::Duration limitWait(base::TimePoint now) const;
     /** Applies the account's grant and rate limit; answers the request and returns false if they do not admit it. */
     bool admit(base::TimePoint now);
     /** Submits an attempt to a suitable upstream; returns false if there is none or the retry budget is used up.
      * \a cause: label of the metric for extra attempts. */
-    bool tryAttempt(Subrequest&, const char* cause);
+    bool tryAttempt(Subrequest&, const char* cause, bool isHedge = false);
     std::shared_ptr<Attempt> createAttempt(Subrequest&, const discovery::UpstreamRecord&);
     /** Returns the bytes of the request for one upstream, with the time that is left now. */
     std::string buildUpstreamRequest(const std::string& upstream) const;
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/gateway/GatewayHost.h"
 
+#include "papayabend/fleet/DemandShare.h"
 #include "papayabend/fleet/EntryAddresses.h"
 #include "papayabend/fleet/Roles.h"
 #include "papayabend/gateway/Exchange.h"
@@ -210,6 +211,9 @@
     m_state.pool.sweep(m_state.budgetShare.isServing ? 1 : 0, now);
     fleet::observe(m_loadEstimate, m_state.pool.counters().attempts, now);
     m_state.fleet.self().load = static_cast<uint32_t>(m_loadEstimate.perSecond);
+    fleet::observe(m_demandEstimate, m_state.wantedAttempts, now, fleet::demandHalfLife);
+    m_state.fleet.self().demand = static_cast<uint32_t>(m_demandEstimate.perSecond);
+    m_state.limitShare = fleet::demandShare(m_state.fleet, now);
     updateStoreReader(now);
     pullIfBehind(now);
     dropUnusedEncoding(now);
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -141,6 +141,7 @@
     std::shared_ptr<fleet::ContentTransfers> m_contentTransfers; /**< Open connections refer to it. */
     fleet::PullState m_pullState;
     fleet::LoadEstimate m_loadEstimate;
+    fleet::LoadEstimate m_demandEstimate;
     base::TimePoint m_startedAt {};
     base::TimePoint m_stopAt {};
     base::TimePoint m_resumedAt {};
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -42,6 +42,10 @@
     fleet::BudgetShare budgetShare;
     dispatch::CrashSuspects suspects;
     dispatch::UpstreamLimits limits;
+    /** This host's part of those limits, see fleet::demandShare(). */
+    double limitShare { 1 };
+    /** First attempts that the requests of callers asked for since the start of the process. */
+    uint64_t wantedAttempts { 0 };
     dispatch::ConcurrencyLimiter limiter;
     routes::SplitChoice split;
     std::unordered_map<std::string, dispatch::LatencyEstimate> latency; /**< By route name. */
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -84,7 +84,10 @@
     });
 }
 
-fleet::HeartbeatMessage PeerLink::ownMessage() const { return { { m_fleet.self() }, m_events.crashNotices(), {} }; }
+fleet::HeartbeatMessage PeerLink::ownMessage() const
+{
+    return { { m_fleet.self() }, m_events.crashNotices(), {}, m_events.limitNotices() };
+}
 
 void PeerLink::sendHeartbeats()
 {
--- a/Source/papayabend/gateway/PeerLink.h
+++ b/Source/papayabend/gateway/PeerLink.h
@@ -36,6 +36,7 @@
     std::function<void(const fleet::HeartbeatMessage&)> messageReceived;
     /** Returns the notices to send with a heartbeat. */
     std::function<std::vector<dispatch::CrashNotice>()> crashNotices;
+    std::function<std::vector<dispatch::LimitNotice>()> limitNotices;
     /** A pull has ended. */
     std::function<void(const PullResult&)> pullEnded;
     /** A datagram that cannot be decoded. */
--- a/Tests/fleet/HeartbeatCodecTest.cpp
+++ b/Tests/fleet/HeartbeatCodecTest.cpp
@@ -26,7 +26,9 @@
     heartbeat.isStoreUnreachable = true;
     heartbeat.capacity = 250;
     heartbeat.load = 1700;
-    auto message = decode(encodeHeartbeats({ { heartbeat }, { { 99, 2 } }, std::string("\0x", 2) }));
+    heartbeat.demand = 800;
+    auto message = decode(encodeHeartbeats({ { heartbeat }, { { 99, 2 } }, std::string("\0x", 2),
+        { { 77, 22.5, base::Duration(1500) }, { 78, std::nullopt, base::Duration(0) } } }));
     CHECK_TRUE(message.has_value());
     const auto& read = message->heartbeats.front();
     STRCMP_EQUAL("b", read.name.c_str());
@@ -40,6 +42,11 @@
     LONGS_EQUAL(12, read.contentRevision);
     LONGS_EQUAL(250, read.capacity);
     LONGS_EQUAL(1700, read.load);
+    LONGS_EQUAL(800, read.demand);
+    LONGS_EQUAL(77, message->limits[0].upstream);
+    DOUBLES_EQUAL(22.5, *message->limits[0].perSecond, 0);
+    LONGS_EQUAL(1500, message->limits[0].age.count());
+    CHECK_FALSE(message->limits[1].perSecond.has_value());
     LONGS_EQUAL(99, message->crashes.front().fingerprint);
     LONGS_EQUAL(2, message->changes.size());
 }
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -347,3 +347,65 @@
     CHECK_EQUAL(403U, runToAnswer());
     CHECK_EQUAL(1U, upstream.requests.size());
 }
+
+// Guards against sending more to an upstream than the limit that it names, and against a refusal that is held back or
+// does not say when to return.
+TEST(Exchange, RequestsBeyondTheLimitOfAnUpstreamAreRefusedAtOnce)
+{
+    auto& upstream = addUpstream("desk", Behaviour::Answer);
+    upstream.fields = "X-Limit: 2\r\n";
+    addRoute("/look/", true);
+    publish();
+    for (int n = 0; n < 60; ++n) {
+        begin("/look/1");
+        auto status = runToAnswer();
+        CHECK_TRUE(status == 200 || status == 503);
+    }
+    CHECK_TRUE(upstream.requests.size() < 10);
+    CHECK_EQUAL(503U, answer->status);
+    CHECK_TRUE(answer->fields.find("Retry-After: ") != std::string::npos);
+    upstream.fields = "";
+    state->limits.observe(dispatch::UpstreamLimits::keyOf("u1", std::nullopt), std::nullopt, base::BootClock::now());
+    begin("/look/1");
+    CHECK_EQUAL(200U, runToAnswer());
+}
+
+// Guards against a fan-out that uses up the limits of some shards although the limits of others do not admit it.
+TEST(Exchange, FanOutThatTheLimitsDoNotAdmitReachesNoUpstream)
+{
+    addUpstream("s1", Behaviour::Answer).fields = "X-Limit: 1\r\n";
+    addUpstream("s2", Behaviour::Answer);
+    addFanOut("/search/", { "s1", "s2" }, 0.9);
+    addFanOut("/partial/", { "s1", "s2" }, 0.5);
+    publish();
+    begin("/search/1");
+    CHECK_EQUAL(200U, runToAnswer());
+    begin("/search/2");
+    runToAnswer();
+    auto before = arrivals();
+    begin("/search/3");
+    CHECK_EQUAL(503U, runToAnswer());
+    LONGS_EQUAL(before, arrivals());
+    begin("/partial/4");
+    CHECK_EQUAL(200U, runToAnswer());
+    CHECK_TRUE(answer->fields.find("X-Missing: 1\r\n") != std::string::npos);
+}
+
+// Guards against hedges that take the place of first attempts at an upstream in need.
+TEST(Exchange, UpstreamThatNamesALimitGetsNoHedges)
+{
+    auto& limited = addUpstream("desk", Behaviour::Answer);
+    addRoute("/look/", true);
+    publish();
+    limited.behaviour = Behaviour::Silent;
+    addUpstream("desk", Behaviour::Silent);
+    publish();
+    auto now = base::BootClock::now();
+    for (int n = 0; n < 100; ++n)
+        state->budget.addRequest("desk", {}, now);
+    for (const auto* id : { "u1", "u2" })
+        state->limits.observe(dispatch::UpstreamLimits::keyOf(id, std::nullopt), 100, now);
+    begin("/look/1");
+    CHECK_EQUAL(504U, runToAnswer());
+    LONGS_EQUAL(1, arrivals());
+}
--- a/Tests/gateway/PeerLinkTest.cpp
+++ b/Tests/gateway/PeerLinkTest.cpp
@@ -24,6 +24,7 @@
     {
         PeerEvents events;
         events.crashNotices = [] { return std::vector<dispatch::CrashNotice> {}; };
+        events.limitNotices = [] { return std::vector<dispatch::LimitNotice> {}; };
         events.pullEnded = [this](const PullResult& it) { result = it; };
         link = std::make_unique<PeerLink>(io, fleet, 1, events);
     }
--- a/Tests/gateway/ScriptedUpstream.h
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -74,8 +74,8 @@
             return;
         case Behaviour::Answer:
             boost::asio::write(*socket,
-                boost::asio::buffer("HTTP/1.1 200 OK\r\nX-Proof: " + signature
-                    + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body),
+                boost::asio::buffer("HTTP/1.1 200 OK\r\nX-Proof: " + signature + "\r\n" + fields
+                    + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body),
                 ec);
             break;
         case Behaviour::Refuse:
@@ -95,6 +95,7 @@
     Behaviour behaviour { Behaviour::Answer };
     std::string signature { "proof" };
     std::string body { "whole body" };
+    std::string fields; /**< Further header lines of its answers, each with CRLF. */
     std::vector<std::string> requests; /**< Headers of the received requests. */
     /** Connections with a request that was not answered (Silent). */
     std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> heldSockets;
