gateway: Bound the bytes that a connection takes for one request

Heads and bodies had a bound; the header of a chunk, trailers, interim answers and answers to other requests had none, so that one upstream could fill the memory of a host, and the unparsed input was scanned again with each read.

A connection now ends as garbled when it has taken more than the longest answer for one request, or when the parser leaves 64 KB unread. HttpCall.BytesWithoutEndCloseTheConnection plays ten kinds of endless bytes and failed before.

An answer that is broken off in its head was not taken for complete before either: HttpCall.AnswerBrokenOffInItsHeadIsNotComplete cuts two answers at every byte and passes on the code before.

--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -15,6 +15,9 @@
 
     constexpr size_t readBytes = 16 * 1024;
     constexpr uint32_t maxHeaderBytes = 32 * 1024;
+    // Longest part of the input that the parser leaves for later: it takes a body as it comes, so that only a chunk
+    // header or a trailer without end is longer.
+    constexpr size_t maxUnparsedBytes = 2 * maxHeaderBytes;
     // A peer that is cut off from the network acknowledges nothing; without this limit the kernel retransmits for
     // minutes.
     constexpr int unacknowledgedLimitMs = 1500;
@@ -144,8 +147,13 @@
     if (!m_done)
         return close("the peer sent data while no request was in flight");
     m_receivedBytes += n;
+    // Interim answers and answers to other requests count too, since they may come without end.
+    if (m_receivedBytes > maxAnswerBytes + maxHeaderBytes)
+        return fail(CallEnd::Garbled, "the answer is longer than the limit");
     m_input.append(buf.data(), n);
     parse();
+    if (m_done && m_input.size() > maxUnparsedBytes)
+        return fail(CallEnd::Garbled, "a part of the answer is longer than the limit");
     if (m_socket.is_open())
         waitForInput();
 }
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -44,7 +44,7 @@
 
     /** Longest time for a connection to be established; the owner of the connection enforces it. */
     static constexpr base::Duration connectTimeout { std::chrono::seconds(1) };
-    /** Longest body of an answer that is accepted. */
+    /** Longest body of an answer that is accepted, and longest input for one request without a header more. */
     static constexpr uint64_t maxAnswerBytes = 16 * 1024 * 1024;
 
     explicit HttpConnection(boost::asio::io_context&);
--- a/Tests/gateway/HttpCallTest.cpp
+++ b/Tests/gateway/HttpCallTest.cpp
@@ -17,17 +17,42 @@
     std::shared_ptr<HttpConnection> connection;
     std::unique_ptr<tcp::socket> upstream;
 
-    void setup() override
+    void setup() override { reconnect(); }
+
+    void reconnect()
     {
+        if (connection)
+            connection->close("the next case of the test");
         connection = std::make_shared<HttpConnection>(io);
         std::optional<std::string> problem;
         connection->open(acceptor.local_endpoint(), [&](const std::string& text) { problem = text; });
         upstream = std::make_unique<tcp::socket>(acceptor.accept());
+        io.restart();
         while (!problem)
             io.run_one();
         STRCMP_EQUAL("", problem->c_str());
     }
 
+    // Sends a request; the upstream answers with the start and then with the block again and again until the connection
+    // is closed, for four times the longest answer at most. Returns the number of bytes that it could send.
+    size_t bytesTakenOf(const std::string& start, const std::string& block)
+    {
+        bool hasEnded = false;
+        connection->send("GET / HTTP/1.1\r\n\r\n", "X-Id", "7", false, [&](const CallResult&) { hasEnded = true; });
+        asio::write(*upstream, asio::buffer(start));
+        upstream->non_blocking(true);
+        size_t sent = 0;
+        boost::system::error_code ec;
+        while (!hasEnded && sent < 4 * HttpConnection::maxAnswerBytes) {
+            auto n = upstream->write_some(asio::buffer(block) + sent % block.size(), ec);
+            if (ec && ec != asio::error::would_block)
+                break;
+            sent += ec ? 0 : n;
+            io.poll();
+        }
+        return sent;
+    }
+
     void teardown() override
     {
         connection->close("end of the test");
@@ -145,3 +170,43 @@
     CHECK_TRUE(result->end == CallEnd::Lost);
     STRCMP_EQUAL("the client has left", result->reason.c_str());
 }
+
+// Guards against an answer whose head is broken off and that is returned as a complete one with an empty or short body.
+TEST(HttpCall, AnswerBrokenOffInItsHeadIsNotComplete)
+{
+    std::string whole = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Proof: p\r\nContent-Length: 2\r\n\r\nok";
+    std::string chunked = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    for (const auto& text : { whole, chunked }) {
+        for (size_t n = 1; n < text.size(); ++n) {
+            reconnect();
+            CHECK_FALSE(call(text.substr(0, n), true).end == CallEnd::Answered);
+        }
+        reconnect();
+        CHECK_TRUE(call(text, true).end == CallEnd::Answered);
+    }
+}
+
+// Guards against an upstream whose bytes never end: they must not fill the memory, whatever part of an answer they are.
+TEST(HttpCall, BytesWithoutEndCloseTheConnection)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
+    const std::pair<std::string, std::string> endless[] = {
+        { "", "a" },
+        { "HTTP/1.1 200 ", "O" },
+        { head + "X-Long: ", "a" },
+        { head, "X-Many: a\r\n" },
+        { head + "\r\n", "body" },
+        { head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n" },
+        { head + "Transfer-Encoding: chunked\r\n\r\n2;", "extension" },
+        { head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: a\r\n" },
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "", "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 0\r\n\r\n" },
+    };
+    for (const auto& [start, repeated] : endless) {
+        reconnect();
+        std::string block;
+        while (block.size() < 256 * 1024)
+            block += repeated;
+        CHECK_TRUE(bytesTakenOf(start, block) <= HttpConnection::maxAnswerBytes + 8 * 1024 * 1024);
+    }
+}
