gateway: Abandon an attempt that cannot be repeated after its deadline

A request that must not be repeated is not cut when it ends or its client leaves, so that the upstream may finish it. Nothing ended it later either: an upstream that never answers, or whose bytes never end, kept the connection, and the bytes received so far, for ever. Such an attempt is now given up one second after the deadline that the upstream was told. Exchange.NonIdempotentAttemptIsAbandonedAfterItsDeadline failed before.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -16,6 +16,8 @@
     // Attempts that are no longer needed have this time to end by themselves, because cancelling one closes its
     // connection, and a new one must be opened.
     constexpr base::Duration surplusAttemptTime { std::chrono::milliseconds(400) };
+    // An attempt that cannot be repeated has this time after the deadline, at which upstreams stop their work.
+    constexpr base::Duration abandonedAttemptTime { std::chrono::seconds(1) };
     // Pause before a request is sent again to upstreams that refused it because they were full.
     constexpr base::Duration fullUpstreamPause { std::chrono::milliseconds(30) };
     // Shortest wait for a connection before another upstream is tried; opening one takes some milliseconds.
@@ -479,8 +481,11 @@
 {
     if (m_isFinished) {
         auto isOpen = [](const auto& it) { return it.history.inFlight > 0; };
-        return std::ranges::any_of(m_subrequests, isOpen) ? std::optional(m_finishedAt + surplusAttemptTime)
-                                                          : std::nullopt;
+        if (std::ranges::none_of(m_subrequests, isOpen))
+            return std::nullopt;
+        // An upstream that runs a request that cannot be repeated may finish it.
+        return policy().isIdempotent ? m_finishedAt + surplusAttemptTime
+                                     : std::max(m_deadlineAt, m_finishedAt) + abandonedAttemptTime;
     }
     auto now = base::BootClock::now();
     auto due = m_deadlineAt;
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -115,7 +115,7 @@
     void finish(const Answer&, const char* outcome);
     void refuse(unsigned status, const char* outcome, const std::string& reason, base::Duration retryAfter);
     void clientLeft();
-    /** Cancels the attempts that are still open if the request is idempotent. */
+    /** Cancels the attempts that are still open. */
     void cancelAttempts(const char* reason);
     void logEnd(unsigned status, const char* outcome);
     std::string describeSubrequests() const;
--- a/Source/papayabend/gateway/ExchangeAnswer.cpp
+++ b/Source/papayabend/gateway/ExchangeAnswer.cpp
@@ -155,7 +155,7 @@
                 m_state.pool.cancel(attempt, "the client closed its connection");
         }
     }
-    m_timer.cancel();
+    armTimer();
 }
 
 void Exchange::endNow()
@@ -166,8 +166,6 @@
 
 void Exchange::cancelAttempts(const char* reason)
 {
-    if (!policy().isIdempotent)
-        return;
     for (auto& subrequest : m_subrequests) {
         auto attempts = subrequest.attempts;
         for (const auto& attempt : attempts)
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -168,6 +168,25 @@
         return sum;
     }
 
+    /** Returns a flag that is set when the gateway closes the connection of the first request that the upstream does
+     * not answer. */
+    static std::shared_ptr<bool> watchCut(ScriptedUpstream & upstream)
+    {
+        auto isCut = std::make_shared<bool>(false);
+        auto byte = std::make_shared<char>();
+        upstream.heldSockets.front()->async_read_some(boost::asio::buffer(byte.get(), 1),
+            [isCut, byte](const boost::system::error_code& ec, size_t) { *isCut = bool(ec); });
+        return isCut;
+    }
+
+    bool isSetWithin(const std::shared_ptr<bool>& flag, base::Duration time)
+    {
+        auto end = base::BootClock::now() + time;
+        while (!*flag && base::BootClock::now() < end)
+            io.run_for(5ms);
+        return *flag;
+    }
+
     void waitForArrival()
     {
         while (arrivals() == 0)
@@ -315,17 +334,30 @@
     begin("/look/1");
     waitForArrival();
     client->onClientLeft();
-    bool isCut = false;
-    char byte = 0;
-    upstream.heldSockets.front()->async_read_some(
-        boost::asio::buffer(&byte, 1), [&](const boost::system::error_code& ec, size_t) { isCut = bool(ec); });
-    auto end = base::BootClock::now() + 5s;
-    while (!isCut && base::BootClock::now() < end)
-        io.run_for(5ms);
-    CHECK_TRUE(isCut);
+    CHECK_TRUE(isSetWithin(watchCut(upstream), 5s));
     CHECK_TRUE(state->exchanges.empty());
 }
 
+// Guards against keeping the connection of a request that cannot be repeated for ever when its upstream never answers.
+TEST(Exchange, NonIdempotentAttemptIsAbandonedAfterItsDeadline)
+{
+    auto& upstream = addUpstream("desk", Behaviour::Silent);
+    addRoute("/order/", false).timeout = 300ms;
+    publish();
+    begin("/order/1");
+    waitForArrival();
+    CHECK_EQUAL(504U, runToAnswer());
+    CHECK_TRUE(isSetWithin(watchCut(upstream), 5s));
+    upstream.heldSockets.clear();
+    begin("/order/2");
+    while (upstream.heldSockets.empty())
+        io.run_for(1ms);
+    client->onClientLeft();
+    auto isCut = watchCut(upstream);
+    CHECK_FALSE(isSetWithin(isCut, 100ms));
+    CHECK_TRUE(isSetWithin(isCut, 5s));
+}
+
 // Guards against serving an account beyond its rate limit or without access in the table, and against a rate-limit
 // refusal without Retry-After.
 TEST(Exchange, TableAppliesToTheAccountOfTheVirtualHost)
