--- a/Tests/platform/CallsTest.cpp
+++ b/Tests/platform/CallsTest.cpp
@@ -16,6 +16,13 @@
     STRCMP_EQUAL("/kv-watch?prefix=&after=7&wait-ms=3000", adapter.watchTarget("", 7, 3s).c_str());
 }
 
+// Guards against a list that never ends or fails because a page ends with an odd key.
+TEST(Calls, OddKeysAreEncodedInRequestTargets)
+{
+    STRCMP_EQUAL("/kv-range?prefix=&after=servers/a%20b%26c%0D%0A%25%C3%A4",
+        adapter.listTarget("", "servers/a b&c\r\n%\xc3\xa4").c_str());
+}
+
 // Guards against requests for addresses that are not recognised, against other targets that are taken for one, and
 // against answers in another format.
 TEST(Calls, EntryRequestsAndAnswers)
--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/Decode.h"
 
 #include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
 
 using namespace papayabend;
 using namespace std::chrono_literals;
@@ -139,3 +140,47 @@
     CHECK_FALSE(platform::parseUpstreamReport({}).requestLimit.has_value());
     STRCMP_EQUAL("", platform::parseUpstreamReport({}).problem.c_str());
 }
+
+// Guards against a process that ends, or that sends requests to nowhere, because of one odd entry in the list.
+TEST(Decode, OddRecordsNameNoUpstream)
+{
+    auto recordOf = [this](const std::string& field, const std::string& value) {
+        nlohmann::json record = { { "service", "s" }, { "address", "10.0.0.1:80" }, { "zone", "z" },
+            { "max-concurrency", 2 }, { "state", "ready" }, { "warmup-left-ms", 0 }, { "sequence", 1 }, { "born", 7 } };
+        record.erase(field);
+        auto text = record.dump();
+        text.insert(1, "\"" + field + "\":" + value + ",");
+        return platform::parseUpstream("i-1", text, reason);
+    };
+    CHECK_TRUE(recordOf("zone", "\"z\"").has_value());
+    std::string nested(100'000, '[');
+    nested += std::string(100'000, ']');
+    for (const auto* field :
+        { "service", "address", "zone", "max-concurrency", "state", "warmup-left-ms", "sequence", "born", "unknown" }) {
+        CHECK_EQUAL(std::string_view(field) == "unknown", recordOf(field, nested).has_value());
+        CHECK_FALSE(recordOf(field, std::string(100'000, '{')).has_value());
+        CHECK_FALSE(recordOf(field, "1e999").has_value());
+    }
+    for (const auto* number : { "0", "-1", "1.5", "1e18", "4294967298", "99999999999999999999", "true", "\"2\"" })
+        CHECK_FALSE(recordOf("max-concurrency", number).has_value());
+    for (const auto* number : { "-1", "1.5", "99999999999999999999" })
+        CHECK_FALSE(recordOf("sequence", number).has_value());
+    for (const auto* number : { "1.5", "9223372036854775808", "99999999999999999999" })
+        CHECK_FALSE(recordOf("born", number).has_value());
+    for (const auto* address : { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:80 ", "10.0.0.1",
+             "10.0.0.256:80", "[::1]:80", "host:80", ":80", "10.0.0.1:4294967376" })
+        CHECK_FALSE(recordOf("address", nlohmann::json(address).dump()).has_value());
+    CHECK_TRUE(recordOf("warmup-left-ms", "1e18")->warmUpLeft <= 1h);
+    CHECK_TRUE(recordOf("warmup-left-ms", "-1e300")->warmUpLeft == 0s);
+    CHECK_FALSE(platform::parseUpstream("i-1", "\xff\xfe", reason).has_value());
+}
+
+// Guards against an id of the store that adds header fields or another request to what is sent to an upstream.
+TEST(Decode, IdsThatCannotStandInAHeaderNameNoUpstream)
+{
+    std::string record = R"({"service":"s","address":"10.0.0.1:80","zone":"z","max-concurrency":2,"state":"ready",)"
+                         R"("warmup-left-ms":0,"sequence":1})";
+    CHECK_TRUE(platform::parseUpstream("i-7f3a/b", record, reason).has_value());
+    for (const auto* id : { "", "a b", "a\r\nX-Other: 1", "a\t", "\xc3\xa4" })
+        CHECK_FALSE(platform::parseUpstream(id, record, reason).has_value());
+}
