base: Refuse deeply nested messages of other hosts before parsing them

One datagram of 65,000 nested arrays ended the process with a segmentation fault (HeartbeatCodec.DeeplyNestedMessagesAreRefused on the code before).

--- a/Source/papayabend/fleet/HeartbeatCodec.cpp
+++ b/Source/papayabend/fleet/HeartbeatCodec.cpp
@@ -1,5 +1,7 @@
 #include "papayabend/fleet/HeartbeatCodec.h"
 
+#include "papayabend/base/CborDepth.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -53,6 +55,9 @@
 
 std::optional<HeartbeatMessage> decodeHeartbeats(std::span<const uint8_t> bytes, base::LastReason& reason)
 {
+    constexpr size_t maxDepth = 3;
+    if (!base::isCborOfDepth(bytes, maxDepth))
+        return base::fail(reason, "not a heartbeat message: not CBOR, or nested too deeply");
     try {
         auto value = json::from_cbor(bytes);
         HeartbeatMessage message;
--- a/Source/papayabend/gateway/Content.cpp
+++ b/Source/papayabend/gateway/Content.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/gateway/Content.h"
 
+#include "papayabend/base/CborDepth.h"
 #include "papayabend/base/Hash.h"
 #include "papayabend/dissemination/RowDelta.h"
 
@@ -157,6 +158,9 @@
 std::optional<ContentChange> Content::applyEncoded(
     std::string_view bytes, base::TimePoint now, base::LastReason& reason)
 {
+    constexpr size_t maxDepth = 3;
+    if (!base::isCborOfDepth({ reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size() }, maxDepth))
+        return base::fail(reason, "not a content message: not CBOR, or nested too deeply");
     try {
         auto message = json::from_cbor(bytes);
         auto after = message.at(0).get<uint64_t>();
--- a/Tests/fleet/HeartbeatCodecTest.cpp
+++ b/Tests/fleet/HeartbeatCodecTest.cpp
@@ -62,3 +62,18 @@
     for (size_t n = 0; n < bytes.size(); ++n)
         CHECK_FALSE(decode(bytes.substr(0, n)).has_value());
 }
+
+// Guards against a process that exits because of a deeply nested datagram.
+TEST(HeartbeatCodec, DeeplyNestedMessagesAreRefused)
+{
+    for (const auto* start : { "\x81", "\x9f", "\x7f", "\x5f",
+             "\xa1\x61"
+             "a",
+             "\xbf\x61"
+             "a" }) {
+        std::string bytes;
+        while (bytes.size() < 65'000)
+            bytes += start;
+        CHECK_FALSE(decode(bytes).has_value());
+    }
+}
--- a/Tests/gateway/ContentTest.cpp
+++ b/Tests/gateway/ContentTest.cpp
@@ -133,7 +133,8 @@
 TEST(Content, MalformedMessagesAreRejected)
 {
     Content content(adapter);
-    for (const auto* bytes : { "", "x", "\x83\x01\x02", "\xff" }) {
+    std::string nested(65'000, '\x81');
+    for (const auto* bytes : { "", "x", "\x83\x01\x02", "\xff", nested.c_str() }) {
         CHECK_FALSE(content.applyEncoded(bytes, now, reason).has_value());
         CHECK_TRUE(reason.text.starts_with("not a content message: "));
     }
