gateway: Share a bound of unfinished answers between connections

Each connection may hold 16 MB of an answer, and a fan-out has 90 of them: a few upstreams whose bytes never end could still take the memory of a host. The connections to upstreams now share 32 MB; when it is used up, unfinished answers above 64 KB are given up and small ones go on. HttpCall.LargeUnfinishedAnswersAreGivenUpWhenTheSharedBudgetIsUsedUp.

--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace papayabend::gateway {
 
@@ -54,12 +55,13 @@
 
 }
 
-HttpConnection::HttpConnection(asio::io_context& io)
+HttpConnection::HttpConnection(asio::io_context& io, std::shared_ptr<ReceiveBudget> budget)
     : m_socket(io)
+    , m_budget(std::move(budget))
 {
 }
 
-HttpConnection::~HttpConnection() = default;
+HttpConnection::~HttpConnection() { releaseBudget(); }
 
 void HttpConnection::open(const tcp::endpoint& endpoint, std::function<void(std::string)> opened)
 {
@@ -146,10 +148,8 @@
         return inputEnded(ec);
     if (!m_done)
         return close("the peer sent data while no request was in flight");
-    m_receivedBytes += n;
-    // Interim answers and answers to other requests count too, since they may come without end.
-    if (m_receivedBytes > maxAnswerBytes + maxHeaderBytes)
-        return fail(CallEnd::Garbled, "the answer is longer than the limit");
+    if (auto problem = countReceived(n); !problem.empty())
+        return fail(CallEnd::Garbled, problem);
     m_input.append(buf.data(), n);
     parse();
     if (m_done && m_input.size() > maxUnparsedBytes)
@@ -158,6 +158,27 @@
         waitForInput();
 }
 
+std::string_view HttpConnection::countReceived(size_t n)
+{
+    // Interim answers and answers to other requests count too, since they may come without end.
+    m_receivedBytes += n;
+    if (m_receivedBytes > maxAnswerBytes + maxHeaderBytes)
+        return "the answer is longer than the limit";
+    if (!m_budget)
+        return {};
+    m_budgetedBytes += n;
+    m_budget->bytes += n;
+    if (m_budget->bytes > m_budget->maxBytes && m_receivedBytes > m_budget->smallAnswerBytes)
+        return "unfinished answers use too much memory";
+    return {};
+}
+
+void HttpConnection::releaseBudget()
+{
+    if (m_budget)
+        m_budget->bytes -= std::exchange(m_budgetedBytes, 0);
+}
+
 void HttpConnection::parse()
 {
     while (!m_input.empty()) {
@@ -249,6 +270,7 @@
 void HttpConnection::finish(CallResult result)
 {
     auto self = shared_from_this();
+    releaseBudget();
     auto done = std::move(m_done);
     m_done = nullptr;
     done(std::move(result));
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/Time.h"
 #include "papayabend/gateway/HttpMessage.h"
+#include "papayabend/gateway/ReceiveBudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -47,7 +48,8 @@
     /** Longest body of an answer that is accepted, and longest input for one request without a header more. */
     static constexpr uint64_t maxAnswerBytes = 16 * 1024 * 1024;
 
-    explicit HttpConnection(boost::asio::io_context&);
+    /** \a budget: shared with other connections; nullptr if the connection has only its own bound. */
+    explicit HttpConnection(boost::asio::io_context&, std::shared_ptr<ReceiveBudget> budget = nullptr);
     ~HttpConnection();
     HttpConnection(const HttpConnection&) = delete;
     HttpConnection& operator=(const HttpConnection&) = delete;
@@ -84,6 +86,10 @@
 
     void waitForInput();
     void read();
+    /** Counts received bytes; returns why the answer is to be given up, or an empty text. */
+    std::string_view countReceived(size_t);
+    /** Returns the bytes of the present answer to the shared budget. */
+    void releaseBudget();
     void parse();
     void newParser();
     /** Handles a complete answer; returns true if it was skipped and parsing continues. */
@@ -96,6 +102,7 @@
     void written();
 
     boost::asio::ip::tcp::socket m_socket;
+    std::shared_ptr<ReceiveBudget> m_budget;
     std::optional<Parser> m_parser;
     std::string m_input;
     std::string m_output;
@@ -106,6 +113,7 @@
     std::optional<base::TimePoint> m_idleUntil;
     base::TimePoint m_idleSince {};
     uint64_t m_receivedBytes { 0 };
+    uint64_t m_budgetedBytes { 0 }; // part of the shared budget that this connection uses
     bool m_isConnected { false };
     bool m_hasAnswered { false };
     bool m_isHead { false };
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -27,6 +27,7 @@
 UpstreamPool::UpstreamPool(boost::asio::io_context& io, std::string idName)
     : m_io(io)
     , m_idName(std::move(idName))
+    , m_receiveBudget(std::make_shared<ReceiveBudget>())
 {
 }
 
@@ -100,7 +101,7 @@
     ++upstream.connecting;
     ++m_counters.connectionsOpened;
     refreshCounts(upstream);
-    auto connection = std::make_shared<HttpConnection>(m_io);
+    auto connection = std::make_shared<HttpConnection>(m_io, m_receiveBudget);
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, HttpConnection::connectTimeout);
     timer->async_wait([weak = std::weak_ptr(connection)](const boost::system::error_code& ec) {
         auto late = weak.lock();
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -100,6 +100,7 @@
     std::string m_idName;
     std::map<std::string, std::unique_ptr<Upstream>, std::less<>> m_upstreams;
     PoolCounters m_counters;
+    std::shared_ptr<ReceiveBudget> m_receiveBudget; /**< Of all connections to upstreams. */
 };
 
 }
--- a/Tests/gateway/HttpCallTest.cpp
+++ b/Tests/gateway/HttpCallTest.cpp
@@ -14,6 +14,7 @@
 {
     asio::io_context io;
     tcp::acceptor acceptor { io, tcp::endpoint(asio::ip::address_v4::loopback(), 0) };
+    std::shared_ptr<ReceiveBudget> budget { std::make_shared<ReceiveBudget>() };
     std::shared_ptr<HttpConnection> connection;
     std::unique_ptr<tcp::socket> upstream;
 
@@ -23,7 +24,7 @@
     {
         if (connection)
             connection->close("the next case of the test");
-        connection = std::make_shared<HttpConnection>(io);
+        connection = std::make_shared<HttpConnection>(io, budget);
         std::optional<std::string> problem;
         connection->open(acceptor.local_endpoint(), [&](const std::string& text) { problem = text; });
         upstream = std::make_unique<tcp::socket>(acceptor.accept());
@@ -210,3 +211,17 @@
         CHECK_TRUE(bytesTakenOf(start, block) <= HttpConnection::maxAnswerBytes + 8 * 1024 * 1024);
     }
 }
+
+// Guards against several upstreams whose bytes never end, which together would fill the memory of the host, and against
+// giving up small answers or keeping the budget used up because of them.
+TEST(HttpCall, LargeUnfinishedAnswersAreGivenUpWhenTheSharedBudgetIsUsedUp)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n";
+    budget->maxBytes = 1024 * 1024;
+    CHECK_TRUE(bytesTakenOf(head, std::string(64 * 1024, 'x')) < HttpConnection::maxAnswerBytes);
+    LONGS_EQUAL(0, budget->bytes);
+    budget->bytes = budget->maxBytes;
+    reconnect();
+    CHECK_TRUE(call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok").end == CallEnd::Answered);
+    LONGS_EQUAL(budget->maxBytes, budget->bytes);
+}
