dispatch: Hold back requests from upstreams that leave or ask for a pause

UpstreamHolds keeps them for an upstream process, and choosing an upstream passes over those that are held, for first attempts, retries and hedges; requests that wait for a connection to one move on; refusals carry the time until the first pause ends, and hosts return spread over up to 0.5 s.

Tests: UpstreamHolds; Exchange.UpstreamThatLeavesGetsNoFurtherRequests, UpstreamGetsNoRequestsInItsPause and RequestsThatWaitForAnUpstreamMoveOnWhenItPauses; Decode.PauseAndLeavingOfAnUpstream for odd values.

--- a/Source/papayabend/dispatch/ChooseUpstream.cpp
+++ b/Source/papayabend/dispatch/ChooseUpstream.cpp
@@ -107,7 +107,7 @@
 
 bool isUsable(const Candidate& candidate, base::TimePoint now)
 {
-    return !candidate.isTried && !candidate.isAtLimit && !candidate.entry->record.isDraining
+    return !candidate.isTried && !candidate.isHeldBack && !candidate.entry->record.isDraining
         && candidate.entry->presence != discovery::Presence::Gone && candidate.load->misdirectedUntil <= now;
 }
 
--- a/Source/papayabend/dispatch/ChooseUpstream.h
+++ b/Source/papayabend/dispatch/ChooseUpstream.h
@@ -41,7 +41,9 @@
     const UpstreamLoad* load { nullptr };
     bool isTried { false }; /**< An attempt of this request has already been sent to it. */
     bool isRemote { false }; /**< It is in another failure domain than this host. */
-    bool isAtLimit { false }; /**< The limit that it has named leaves no request for this attempt now. */
+    bool isHeldBack {
+        false
+    }; /**< What it says about itself allows no such attempt now: its limit, a pause, its end. */
 };
 
 /** \struct ChoiceInputs
@@ -75,8 +77,8 @@
 /** Records that another upstream answered at the address of this one. */
 void addMisdirection(UpstreamLoad&, base::TimePoint now);
 
-/** Returns whether the request may be sent to the upstream: not if it was tried or is draining, gone, misdirected or at
- * its limit. */
+/** Returns whether the request may be sent to the upstream: not if it was tried or is draining, gone, misdirected or
+ * held back. */
 bool isUsable(const Candidate&, base::TimePoint now);
 
 /** Returns how many of the upstreams of a service a request may be sent to.
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -72,8 +72,8 @@
     if (!isServable())
         return refuse(503, "no_upstream", "too few of the services or shards have a usable upstream",
             minRetryAfter + retryAfterSpread);
-    if (auto wait = limitWait(now); wait.count() > 0)
-        return refuse(503, "at_limit", "the upstreams have named limits that admit no more requests now",
+    if (auto wait = admissionWait(now); wait.count() > 0)
+        return refuse(503, "at_limit", "the upstreams have named limits or pauses that admit no more requests now",
             std::max(wait, minRetryAfter));
     if (isFanOut()) {
         if (!m_state.limiter.tryAcquire(m_route->shards.front(), m_trafficClass, now))
@@ -184,19 +184,27 @@
 
 base::Duration Exchange::maxConnectionWait() const { return std::max(m_hedgeDelay / 2, minConnectionWait); }
 
-bool Exchange::isAtLimit(const discovery::UpstreamRecord& record, bool isHedge, base::TimePoint now) const
+std::optional<base::Duration> Exchange::upstreamWait(const discovery::UpstreamRecord& record, base::TimePoint now) const
 {
-    if (m_state.limits.isEmpty())
+    auto key = dispatch::UpstreamLimits::keyOf(record.id, record.startedAt);
+    if (m_state.holds.isLeaving(key))
+        return std::nullopt;
+    return std::max(m_state.holds.pauseLeft(key, now), m_state.limits.waitFor(key, m_state.limitShare, now));
+}
+
+bool Exchange::isHeldBack(const discovery::UpstreamRecord& record, bool isHedge, base::TimePoint now) const
+{
+    if (m_state.limits.isEmpty() && m_state.holds.isEmpty())
         return false;
     auto key = dispatch::UpstreamLimits::keyOf(record.id, record.startedAt);
-    if (isHedge)
-        return m_state.limits.limitOf(key, now).has_value();
-    return m_state.limits.waitFor(key, m_state.limitShare, now).count() > 0;
+    if (isHedge && m_state.limits.limitOf(key, now))
+        return true;
+    return upstreamWait(record, now) != base::Duration(0);
 }
 
-base::Duration Exchange::limitWait(base::TimePoint now) const
+base::Duration Exchange::admissionWait(base::TimePoint now) const
 {
-    if (m_state.limits.isEmpty())
+    if (m_state.limits.isEmpty() && m_state.holds.isEmpty())
         return base::Duration(0);
     std::vector<base::Duration> waits;
     for (const auto& subrequest : m_subrequests) {
@@ -204,9 +212,8 @@
         for (const auto* entry : m_state.content.upstreams().of(subrequest.service)) {
             if (!dispatch::isUsable({ entry, &m_state.pool.load(entry->record.id) }, now))
                 continue;
-            auto key = dispatch::UpstreamLimits::keyOf(entry->record.id, entry->record.startedAt);
-            auto wait = m_state.limits.waitFor(key, m_state.limitShare, now);
-            shortest = std::min(shortest.value_or(wait), wait);
+            if (auto wait = upstreamWait(entry->record, now))
+                shortest = std::min(shortest.value_or(*wait), *wait);
         }
         if (shortest)
             waits.push_back(*shortest);
@@ -233,15 +240,15 @@
     for (const auto* entry : entries) {
         auto isTried = std::ranges::find(subrequest.tried, entry->record.id) != subrequest.tried.end();
         auto isRemote = entry->record.failureDomain != m_state.settings.host.failureDomain;
-        candidates.push_back(
-            { entry, &m_state.pool.load(entry->record.id), isTried, isRemote, isAtLimit(entry->record, isHedge, now) });
+        candidates.push_back({ entry, &m_state.pool.load(entry->record.id), isTried, isRemote,
+            isHeldBack(entry->record, isHedge, now) });
         hasUndrained = hasUndrained || (!entry->record.isDraining && entry->presence == discovery::Presence::Listed);
     }
     auto medianLatency = base::Duration(static_cast<int64_t>(m_latency->median));
     auto choice = dispatch::chooseUpstream(candidates, { medianLatency, m_hedgeDelay, now });
     if (!choice && !hasUndrained) {
         auto it = std::ranges::find_if(candidates, [now](const auto& each) {
-            return !each.isTried && !each.isAtLimit && each.entry->presence == discovery::Presence::Listed
+            return !each.isTried && !each.isHeldBack && each.entry->presence == discovery::Presence::Listed
                 && each.load->misdirectedUntil <= now && now - each.entry->changedAt < drainingUseTime;
         });
         if (it != candidates.end())
@@ -333,7 +340,7 @@
     auto status = result.answer.result_int();
     // Another upstream answers with 421; it says nothing about the one that the attempt was meant for.
     if (status != 421)
-        recordUpstreamLimit(subrequest, attempt, result.answer);
+        recordUpstreamReport(subrequest, attempt, result.answer);
     auto hasNotRun = status == 421 || !fieldOf(result.answer, m_state.adapter.headers.notExecuted).empty();
     if (hasNotRun) {
         ++subrequest.history.provenNotRun;
@@ -354,24 +361,36 @@
     return false;
 }
 
-void Exchange::recordUpstreamLimit(const Subrequest& subrequest, const Attempt& attempt, const HttpResponse& answer)
+void Exchange::recordUpstreamReport(const Subrequest& subrequest, const Attempt& attempt, const HttpResponse& answer)
 {
     const auto* entry = m_state.content.upstreams().find(attempt.upstream);
     if (!entry)
         return;
     auto now = base::BootClock::now();
     auto report = m_state.adapter.parseUpstreamReport(answer);
-    LogFields fields;
-    fields.add("upstream", attempt.upstream).add("service", subrequest.service);
-    if (!report.problem.empty())
-        return m_state.log.write(LineClass::Change, "refused", fields.add("reason", report.problem), now);
+    auto log = [&](std::string_view event, auto... fields) {
+        LogFields line;
+        line.add("upstream", attempt.upstream).add("service", subrequest.service);
+        (line.add(fields.first, fields.second), ...);
+        m_state.log.write(LineClass::Change, event, line, now);
+    };
+    for (const auto& problem : report.problems)
+        log("refused", std::pair("reason", std::string_view(problem)));
     auto key = dispatch::UpstreamLimits::keyOf(attempt.upstream, entry->record.startedAt);
-    if (!m_state.limits.observe(key, report.requestLimit, now))
-        return;
-    fields.add("state", report.requestLimit ? "limited" : "unlimited");
-    if (report.requestLimit)
-        fields.add("milliRequestsPerSecond", static_cast<int64_t>(*report.requestLimit * 1000));
-    m_state.log.write(LineClass::Change, "limit", fields, now);
+    if (report.isLimitReadable && m_state.limits.observe(key, report.requestLimit, now))
+        log("limit", std::pair("state", std::string_view(report.requestLimit ? "limited" : "unlimited")),
+            std::pair("milliRequestsPerSecond", static_cast<int64_t>(report.requestLimit.value_or(0) * 1000)));
+    if (report.isLeaving && m_state.holds.addLeaving(key, now)) {
+        log("upstream", std::pair("source", std::string_view("answer")),
+            std::pair("state", std::string_view("leaving")));
+        m_state.pool.rejectWaiting(attempt.upstream, "the upstream leaves");
+    }
+    if (report.pause.value_or(base::Duration(0)).count() > 0) {
+        if (m_state.holds.pauseLeft(key, now).count() == 0)
+            log("pause", std::pair("ms", base::toMilliseconds(*report.pause)));
+        m_state.holds.addPause(key, *report.pause, m_state.random, now);
+        m_state.pool.rejectWaiting(attempt.upstream, "the upstream has asked for a pause");
+    }
 }
 
 void Exchange::attemptEnded(Subrequest& subrequest, const Attempt& attempt, CallResult result)
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -65,11 +65,14 @@
     bool readRequest();
     /** Returns whether enough of the shards, or the one service, have a usable upstream. */
     bool isServable() const;
-    /** Returns whether the limit of the upstream allows no attempt now. A hedge is allowed at none that has a limit. */
-    bool isAtLimit(const discovery::UpstreamRecord&, bool isHedge, base::TimePoint now) const;
-    /** Returns the time until the limits of the upstreams admit enough of the shards, or the one service; 0 if they do
-     * now. */
-    base::Duration limitWait(base::TimePoint now) const;
+    /** Returns whether the upstream's limit, its pause or its end allows no attempt now. A hedge is allowed at none
+     * that has a limit. */
+    bool isHeldBack(const discovery::UpstreamRecord&, bool isHedge, base::TimePoint now) const;
+    /** Returns the time until the limit and the pause of the upstream allow a request; nothing if it leaves. */
+    std::optional<base::Duration> upstreamWait(const discovery::UpstreamRecord&, base::TimePoint now) const;
+    /** Returns the time until the limits and pauses of the upstreams admit enough of the shards, or the one service; 0
+     * if they do now. */
+    base::Duration admissionWait(base::TimePoint now) const;
     /** Applies the account's grant and rate limit; answers the request and returns false if they do not admit it. */
     bool admit(base::TimePoint now);
     /** Submits an attempt to a suitable upstream; returns false if there is none or the retry budget is used up.
@@ -83,8 +86,8 @@
     /** Updates the upstream's load, latency and crash records with the result of an attempt; returns whether the
      * attempt is proven not to have run. */
     bool recordAttemptResult(Subrequest&, const Attempt&, const CallResult&);
-    /** Records the limit that the upstream has named in its answer, and logs it if it has changed. */
-    void recordUpstreamLimit(const Subrequest&, const Attempt&, const HttpResponse&);
+    /** Records what the upstream has said about itself in its answer, and logs changes. */
+    void recordUpstreamReport(const Subrequest&, const Attempt&, const HttpResponse&);
     /** Accepts an upstream's answer or retries. Answers with a content encoding are not accepted. A signed success is
      * accepted, in a fan-out unless its signature was seen before. For a single service, a status of 300 to 499 is also
      * accepted unless it means that the request has not run. */
--- a/Source/papayabend/gateway/ExchangeAnswer.cpp
+++ b/Source/papayabend/gateway/ExchangeAnswer.cpp
@@ -37,7 +37,8 @@
         if (dispatch::mayHaveRun(subrequest.history))
             return finish(
                 plainAnswer(502, "an upstream may have run the request: " + subrequest.lastReason), "may_have_run");
-        return refuse(503, "not_run", "no upstream ran the request: " + subrequest.lastReason, minRetryAfter);
+        return refuse(503, "not_run", "no upstream ran the request: " + subrequest.lastReason,
+            std::max(admissionWait(base::BootClock::now()), minRetryAfter));
     }
     auto now = base::BootClock::now();
     if (dispatch::isRefusalDue(subrequest.history, std::min(m_objectiveAt, m_deadlineAt), now))
@@ -60,7 +61,7 @@
     }
     auto hasRun = std::ranges::any_of(m_subrequests, [](const auto& it) { return dispatch::mayHaveRun(it.history); });
     if (!hasRun)
-        return refuse(503, "not_run", "no upstream ran the request", minRetryAfter);
+        return refuse(503, "not_run", "no upstream ran the request", std::max(admissionWait(now), minRetryAfter));
     if (now >= m_deadlineAt)
         return finish(plainAnswer(504, "too few shards answered before the deadline"), "timeout");
     finish(plainAnswer(502, "too many shards failed"), "too_few_shards");
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -217,6 +217,7 @@
     updateStoreReader(now);
     pullIfBehind(now);
     dropUnusedEncoding(now);
+    m_state.holds.expire(now);
     updateStage();
     if (++m_ticks % ticksPerCheck == 0) {
         reloadChangedFiles();
@@ -367,6 +368,8 @@
     gauge("hosts_known", m_state.fleet.members().size() + 1);
     gauge("hosts_live", m_state.fleet.liveHosts(now));
     gauge("upstreams_known", m_state.content.upstreams().entries().size());
+    gauge("upstreams_leaving", m_state.holds.countLeaving());
+    gauge("upstreams_paused", m_state.holds.countPaused(now));
     gauge("upstreams_limited", m_state.limits.count(now));
     gauge("upstream_connections", m_state.pool.openConnections());
     size_t connections = 0;
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include "papayabend/dispatch/CrashSuspects.h"
 #include "papayabend/dispatch/LatencyEstimate.h"
 #include "papayabend/dispatch/RetryBudget.h"
+#include "papayabend/dispatch/UpstreamHolds.h"
 #include "papayabend/dispatch/UpstreamLimits.h"
 #include "papayabend/fleet/BudgetShare.h"
 #include "papayabend/fleet/FleetView.h"
@@ -41,6 +42,7 @@
     dispatch::RetryBudget budget;
     fleet::BudgetShare budgetShare;
     dispatch::CrashSuspects suspects;
+    dispatch::UpstreamHolds holds;
     dispatch::UpstreamLimits limits;
     /** This host's part of those limits, see fleet::demandShare(). */
     double limitShare { 1 };
--- a/Source/papayabend/gateway/PlatformAdapter.h
+++ b/Source/papayabend/gateway/PlatformAdapter.h
@@ -58,7 +58,10 @@
  */
 struct UpstreamReport {
     std::optional<double> requestLimit; /**< Requests per second that it takes from all hosts together. */
-    std::string problem; /**< A field that cannot be used, with the reason; empty if there is none. */
+    bool isLimitReadable { true }; /**< False if it names a limit that cannot be read. */
+    bool isLeaving { false }; /**< It will end and wants no further request. */
+    std::optional<base::Duration> pause; /**< Time for which it wants nothing from this host. */
+    std::vector<std::string> problems; /**< Fields that cannot be used, each with the reason. */
 };
 
 /** \struct PlatformAdapter
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -257,6 +257,12 @@
     endAttempt(attempt, std::move(result));
 }
 
+void UpstreamPool::rejectWaiting(std::string_view id, const std::string& reason)
+{
+    if (auto* target = find(id))
+        failQueue(*target, reason);
+}
+
 void UpstreamPool::endAttempt(const std::shared_ptr<Attempt>& attempt, CallResult result)
 {
     if (attempt->isEnded)
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -51,6 +51,9 @@
     /** Ends an attempt: an unsent one is removed from the queue, the connection of a sent one is closed. */
     void cancel(const std::shared_ptr<Attempt>&, std::string_view reason);
 
+    /** Ends the attempts that wait for a connection to the upstream as not sent. */
+    void rejectWaiting(std::string_view id, const std::string& reason);
+
     /** Closes idle connections that have reached their idle limit, and, after a shorter idle time, those that exceed
      * \a keptIdle connections per upstream. */
     void sweep(size_t keptIdle, base::TimePoint now);
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -32,8 +32,14 @@
 
 UpstreamReport parseUpstreamReport(const HttpResponse& answer)
 {
-    auto limit = fieldOf(answer, "X-Limit");
-    return { limit.empty() ? std::nullopt : std::optional(std::stod(std::string(limit))) };
+    auto number = [&](const char* name) {
+        auto text = fieldOf(answer, name);
+        return text.empty() ? std::nullopt : std::optional(std::stod(std::string(text)));
+    };
+    UpstreamReport report { .requestLimit = number("X-Limit"), .isLeaving = number("X-Leaving").has_value() };
+    if (auto seconds = number("X-Pause"))
+        report.pause = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(*seconds));
+    return report;
 }
 
 PlatformAdapter testAdapter()
@@ -441,3 +447,56 @@
     CHECK_EQUAL(504U, runToAnswer());
     LONGS_EQUAL(1, arrivals());
 }
+
+// Guards against sending requests to an upstream after it has answered that it leaves, whatever the store says.
+TEST(Exchange, UpstreamThatLeavesGetsNoFurtherRequests)
+{
+    auto& leaving = addUpstream("desk", Behaviour::Answer);
+    leaving.fields = "X-Leaving: 1\r\n";
+    addRoute("/look/", true);
+    publish();
+    begin("/look/1");
+    CHECK_EQUAL(200U, runToAnswer());
+    begin("/look/2");
+    CHECK_EQUAL(503U, runToAnswer());
+    auto& other = addUpstream("desk", Behaviour::Answer);
+    publish();
+    for (int n = 0; n < 5; ++n) {
+        begin("/look/3");
+        CHECK_EQUAL(200U, runToAnswer());
+    }
+    LONGS_EQUAL(1, leaving.requests.size());
+    LONGS_EQUAL(5, other.requests.size());
+}
+
+// Guards against requests to an upstream in the pause that it has asked for, and against a refusal that sends clients
+// back before its end.
+TEST(Exchange, UpstreamGetsNoRequestsInItsPause)
+{
+    auto& upstream = addUpstream("desk", Behaviour::Refuse);
+    upstream.fields = "X-Pause: 30\r\n";
+    addRoute("/look/", true);
+    publish();
+    for (int n = 0; n < 5; ++n) {
+        begin("/look/1");
+        CHECK_EQUAL(503U, runToAnswer());
+        auto at = answer->fields.find("Retry-After: ");
+        CHECK_TRUE(at != std::string::npos && std::stod(answer->fields.substr(at + 13)) > 25);
+    }
+    LONGS_EQUAL(1, upstream.requests.size());
+}
+
+// Guards against a request that waits for a connection to an upstream which has asked for a pause in the meantime.
+TEST(Exchange, RequestsThatWaitForAnUpstreamMoveOnWhenItPauses)
+{
+    auto& pausing = addUpstream("desk", Behaviour::Refuse);
+    pausing.fields = "X-Pause: 30\r\n";
+    addRoute("/look/", true);
+    publish();
+    state->pool.setMaxConnections("u1", 1);
+    begin("/look/1");
+    auto first = client;
+    begin("/look/2");
+    CHECK_EQUAL(503U, runToAnswer());
+    LONGS_EQUAL(1, pausing.requests.size());
+}
--- a/Tests/gateway/ScriptedUpstream.h
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -81,7 +81,7 @@
         case Behaviour::Refuse:
             boost::asio::write(*socket,
                 boost::asio::buffer(
-                    std::string("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")),
+                    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + fields + "Content-Length: 0\r\n\r\n"),
                 ec);
             break;
         }
--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -135,10 +135,11 @@
     CHECK_TRUE(*reportOf("1e300").requestLimit <= 1e6);
     for (const auto* text : { "", "-1", "nan", "inf", "1e999", "12 a second", "twelve", "0x10" }) {
         CHECK_FALSE(reportOf(text).requestLimit.has_value());
-        CHECK_TRUE(reportOf(text).problem.starts_with("Server-Limit is not a decimal number"));
+        CHECK_FALSE(reportOf(text).isLimitReadable);
+        CHECK_TRUE(reportOf(text).problems.front().starts_with("Server-Limit is not a decimal number"));
     }
     CHECK_FALSE(platform::parseUpstreamReport({}).requestLimit.has_value());
-    STRCMP_EQUAL("", platform::parseUpstreamReport({}).problem.c_str());
+    CHECK_TRUE(platform::parseUpstreamReport({}).problems.empty());
 }
 
 // Guards against a process that ends, or that sends requests to nowhere, because of one odd entry in the list.
@@ -184,3 +185,27 @@
     for (const auto* id : { "", "a b", "a\r\nX-Other: 1", "a\t", "\xc3\xa4" })
         CHECK_FALSE(platform::parseUpstream(id, record, reason).has_value());
 }
+
+// Guards against an odd Retry-After or Server-Leaving that keeps all requests from an upstream, or ends the process.
+TEST(Decode, PauseAndLeavingOfAnUpstream)
+{
+    auto reportOf = [](unsigned status, const char* name, const char* value) {
+        gateway::HttpResponse answer;
+        answer.result(status);
+        answer.insert(name, value);
+        return platform::parseUpstreamReport(answer);
+    };
+    CHECK_TRUE(*reportOf(503, "Retry-After", "1.5").pause == 1500ms);
+    CHECK_TRUE(*reportOf(503, "Retry-After", "0").pause == 0s);
+    CHECK_TRUE(*reportOf(503, "Retry-After", "1e18").pause <= 24h);
+    CHECK_FALSE(reportOf(429, "Retry-After", "2").pause.has_value());
+    for (const auto* text : { "", "-1", "nan", "1e999", "Fri, 31 Dec 2027 23:59:59 GMT", "2 s" }) {
+        CHECK_FALSE(reportOf(503, "Retry-After", text).pause.has_value());
+        LONGS_EQUAL(1, reportOf(503, "Retry-After", text).problems.size());
+    }
+    CHECK_TRUE(reportOf(200, "Server-Leaving", "1").isLeaving);
+    for (const auto* text : { "", "0", "yes", "11" }) {
+        CHECK_FALSE(reportOf(200, "Server-Leaving", text).isLeaving);
+        LONGS_EQUAL(1, reportOf(200, "Server-Leaving", text).problems.size());
+    }
+}
