dispatch: Decide in one place what an upstream's own words allow

Limits, pauses and leaving were asked for one after the other by the exchange, where no test without sockets could reach them together. UpstreamGate holds them and answers whether a request may go to an upstream now, and when if not.

UpstreamGate.NoRequestGoesAgainstTheWordOfAnUpstream plays 200,000 requests of four hosts in virtual time while three upstreams leave, pause, name limits and start again at random: none goes to a leaving upstream, more than two into a pause, or beyond a limit.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -34,6 +34,11 @@
     /** Returns whether \a status means to a client that its request has not run. */
     bool isNotRunStatus(unsigned status) { return status == 429 || status == 503 || status == 408 || status == 421; }
 
+    uint64_t keyOf(const discovery::UpstreamRecord& record)
+    {
+        return dispatch::UpstreamLimits::keyOf(record.id, record.startedAt);
+    }
+
 }
 
 void Exchange::begin(GatewayState& state, const std::shared_ptr<ClientRequest>& client)
@@ -184,27 +189,14 @@
 
 base::Duration Exchange::maxConnectionWait() const { return std::max(m_hedgeDelay / 2, minConnectionWait); }
 
-std::optional<base::Duration> Exchange::upstreamWait(const discovery::UpstreamRecord& record, base::TimePoint now) const
-{
-    auto key = dispatch::UpstreamLimits::keyOf(record.id, record.startedAt);
-    if (m_state.holds.isLeaving(key))
-        return std::nullopt;
-    return std::max(m_state.holds.pauseLeft(key, now), m_state.limits.waitFor(key, m_state.limitShare, now));
-}
-
 bool Exchange::isHeldBack(const discovery::UpstreamRecord& record, bool isHedge, base::TimePoint now) const
 {
-    if (m_state.limits.isEmpty() && m_state.holds.isEmpty())
-        return false;
-    auto key = dispatch::UpstreamLimits::keyOf(record.id, record.startedAt);
-    if (isHedge && m_state.limits.limitOf(key, now))
-        return true;
-    return upstreamWait(record, now) != base::Duration(0);
+    return !m_state.gate.isEmpty() && !dispatch::isOpen(m_state.gate, keyOf(record), isHedge, now);
 }
 
 base::Duration Exchange::admissionWait(base::TimePoint now) const
 {
-    if (m_state.limits.isEmpty() && m_state.holds.isEmpty())
+    if (m_state.gate.isEmpty())
         return base::Duration(0);
     std::vector<base::Duration> waits;
     for (const auto& subrequest : m_subrequests) {
@@ -212,7 +204,7 @@
         for (const auto* entry : m_state.content.upstreams().of(subrequest.service)) {
             if (!dispatch::isUsable({ entry, &m_state.pool.load(entry->record.id) }, now))
                 continue;
-            if (auto wait = upstreamWait(entry->record, now))
+            if (auto wait = dispatch::waitFor(m_state.gate, keyOf(entry->record), now))
                 shortest = std::min(shortest.value_or(*wait), *wait);
         }
         if (shortest)
@@ -267,8 +259,8 @@
         m_state.metrics.extraAttempt(cause);
     }
     const auto& record = candidates[*choice].entry->record;
-    if (!m_state.limits.isEmpty())
-        m_state.limits.take(dispatch::UpstreamLimits::keyOf(record.id, record.startedAt), m_state.limitShare, now);
+    if (!m_state.gate.limits.isEmpty())
+        m_state.gate.limits.take(keyOf(record), m_state.gate.limitShare, now);
     auto attempt = createAttempt(subrequest, record);
     subrequest.tried.push_back(record.id);
     subrequest.attempts.push_back(attempt);
@@ -376,19 +368,19 @@
     };
     for (const auto& problem : report.problems)
         log("refused", std::pair("reason", std::string_view(problem)));
-    auto key = dispatch::UpstreamLimits::keyOf(attempt.upstream, entry->record.startedAt);
-    if (report.isLimitReadable && m_state.limits.observe(key, report.requestLimit, now))
+    auto key = keyOf(entry->record);
+    if (report.isLimitReadable && m_state.gate.limits.observe(key, report.requestLimit, now))
         log("limit", std::pair("state", std::string_view(report.requestLimit ? "limited" : "unlimited")),
             std::pair("milliRequestsPerSecond", static_cast<int64_t>(report.requestLimit.value_or(0) * 1000)));
-    if (report.isLeaving && m_state.holds.addLeaving(key, now)) {
+    if (report.isLeaving && m_state.gate.holds.addLeaving(key, now)) {
         log("upstream", std::pair("source", std::string_view("answer")),
             std::pair("state", std::string_view("leaving")));
         m_state.pool.rejectWaiting(attempt.upstream, "the upstream leaves");
     }
     if (report.pause.value_or(base::Duration(0)).count() > 0) {
-        if (m_state.holds.pauseLeft(key, now).count() == 0)
+        if (m_state.gate.holds.pauseLeft(key, now).count() == 0)
             log("pause", std::pair("ms", base::toMilliseconds(*report.pause)));
-        m_state.holds.addPause(key, *report.pause, m_state.random, now);
+        m_state.gate.holds.addPause(key, *report.pause, m_state.random, now);
         m_state.pool.rejectWaiting(attempt.upstream, "the upstream has asked for a pause");
     }
 }
@@ -491,7 +483,7 @@
         auto mayHedge = !isFanOut() || !m_state.limiter.isOverloaded(m_route->shards.front());
         if (mayHedge && now >= subrequest.noHedgeUntil && dispatch::isHedgeDue(policy(), subrequest.history, now)
             && !tryAttempt(subrequest, "late", true))
-            subrequest.noHedgeUntil = now + (m_state.limits.isEmpty() ? hedgeRetryPause : limitedHedgeRetryPause);
+            subrequest.noHedgeUntil = now + (m_state.gate.limits.isEmpty() ? hedgeRetryPause : limitedHedgeRetryPause);
     }
     m_isStartingAttempts = false;
 }
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -65,11 +65,8 @@
     bool readRequest();
     /** Returns whether enough of the shards, or the one service, have a usable upstream. */
     bool isServable() const;
-    /** Returns whether the upstream's limit, its pause or its end allows no attempt now. A hedge is allowed at none
-     * that has a limit. */
+    /** Returns whether the upstream's limit, its pause or its end allows no attempt now. */
     bool isHeldBack(const discovery::UpstreamRecord&, bool isHedge, base::TimePoint now) const;
-    /** Returns the time until the limit and the pause of the upstream allow a request; nothing if it leaves. */
-    std::optional<base::Duration> upstreamWait(const discovery::UpstreamRecord&, base::TimePoint now) const;
     /** Returns the time until the limits and pauses of the upstreams admit enough of the shards, or the one service; 0
      * if they do now. */
     base::Duration admissionWait(base::TimePoint now) const;
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -62,7 +62,7 @@
     PeerEvents events;
     events.messageReceived = [this](const fleet::HeartbeatMessage& message) { handleHeartbeats(message); };
     events.crashNotices = [this] { return m_state.suspects.notices(base::BootClock::now()); };
-    events.limitNotices = [this] { return m_state.limits.notices(m_state.random, base::BootClock::now()); };
+    events.limitNotices = [this] { return m_state.gate.limits.notices(m_state.random, base::BootClock::now()); };
     events.messageRefused
         = [this](const std::string& reason, const std::string& from) { logRefusedMessage(reason, from); };
     events.pullEnded = [this](const PullResult& result) {
@@ -236,7 +236,7 @@
             m_peerLink.sendKnownHosts(heartbeat.peerAddress);
     }
     m_state.suspects.merge(message.crashes, now);
-    m_state.limits.merge(message.limits, now);
+    m_state.gate.limits.merge(message.limits, now);
     if (m_state.fleet.members().size() != before) {
         logEvent("fleet", LogFields().add("hosts", static_cast<int64_t>(m_state.fleet.members().size() + 1)));
         updateUpstreamConnections();
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -213,11 +213,11 @@
     m_state.fleet.self().load = static_cast<uint32_t>(m_loadEstimate.perSecond);
     fleet::observe(m_demandEstimate, m_state.wantedAttempts, now, fleet::demandHalfLife);
     m_state.fleet.self().demand = static_cast<uint32_t>(m_demandEstimate.perSecond);
-    m_state.limitShare = fleet::demandShare(m_state.fleet, now);
+    m_state.gate.limitShare = fleet::demandShare(m_state.fleet, now);
     updateStoreReader(now);
     pullIfBehind(now);
     dropUnusedEncoding(now);
-    m_state.holds.expire(now);
+    m_state.gate.holds.expire(now);
     updateStage();
     if (++m_ticks % ticksPerCheck == 0) {
         reloadChangedFiles();
@@ -368,9 +368,9 @@
     gauge("hosts_known", m_state.fleet.members().size() + 1);
     gauge("hosts_live", m_state.fleet.liveHosts(now));
     gauge("upstreams_known", m_state.content.upstreams().entries().size());
-    gauge("upstreams_leaving", m_state.holds.countLeaving());
-    gauge("upstreams_paused", m_state.holds.countPaused(now));
-    gauge("upstreams_limited", m_state.limits.count(now));
+    gauge("upstreams_leaving", m_state.gate.holds.countLeaving());
+    gauge("upstreams_paused", m_state.gate.holds.countPaused(now));
+    gauge("upstreams_limited", m_state.gate.limits.count(now));
     gauge("upstream_connections", m_state.pool.openConnections());
     size_t connections = 0;
     size_t requests = 0;
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -6,8 +6,7 @@
 #include "papayabend/dispatch/CrashSuspects.h"
 #include "papayabend/dispatch/LatencyEstimate.h"
 #include "papayabend/dispatch/RetryBudget.h"
-#include "papayabend/dispatch/UpstreamHolds.h"
-#include "papayabend/dispatch/UpstreamLimits.h"
+#include "papayabend/dispatch/UpstreamGate.h"
 #include "papayabend/fleet/BudgetShare.h"
 #include "papayabend/fleet/FleetView.h"
 #include "papayabend/gateway/Content.h"
@@ -42,10 +41,7 @@
     dispatch::RetryBudget budget;
     fleet::BudgetShare budgetShare;
     dispatch::CrashSuspects suspects;
-    dispatch::UpstreamHolds holds;
-    dispatch::UpstreamLimits limits;
-    /** This host's part of those limits, see fleet::demandShare(). */
-    double limitShare { 1 };
+    dispatch::UpstreamGate gate;
     /** First attempts that the requests of callers asked for since the start of the process. */
     uint64_t wantedAttempts { 0 };
     dispatch::ConcurrencyLimiter limiter;
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -403,7 +403,8 @@
     CHECK_EQUAL(503U, answer->status);
     CHECK_TRUE(answer->fields.find("Retry-After: ") != std::string::npos);
     upstream.fields = "";
-    state->limits.observe(dispatch::UpstreamLimits::keyOf("u1", std::nullopt), std::nullopt, base::BootClock::now());
+    state->gate.limits.observe(
+        dispatch::UpstreamLimits::keyOf("u1", std::nullopt), std::nullopt, base::BootClock::now());
     begin("/look/1");
     CHECK_EQUAL(200U, runToAnswer());
 }
@@ -442,7 +443,7 @@
     for (int n = 0; n < 100; ++n)
         state->budget.addRequest("desk", {}, now);
     for (const auto* id : { "u1", "u2" })
-        state->limits.observe(dispatch::UpstreamLimits::keyOf(id, std::nullopt), 100, now);
+        state->gate.limits.observe(dispatch::UpstreamLimits::keyOf(id, std::nullopt), 100, now);
     begin("/look/1");
     CHECK_EQUAL(504U, runToAnswer());
     LONGS_EQUAL(1, arrivals());
