gateway: Move what upstreams say of themselves into its own file

ExchangeGate.cpp holds the three functions that read and apply the words of upstreams, the key of an upstream process is one function, and two callbacks of PeerLink say what they return. No behaviour changes.

--- a/Source/papayabend/dispatch/UpstreamGate.cpp
+++ b/Source/papayabend/dispatch/UpstreamGate.cpp
@@ -4,6 +4,8 @@
 
 namespace papayabend::dispatch {
 
+uint64_t keyOf(const discovery::UpstreamRecord& record) { return UpstreamLimits::keyOf(record.id, record.startedAt); }
+
 std::optional<base::Duration> waitFor(const UpstreamGate& gate, uint64_t key, base::TimePoint now)
 {
     if (gate.holds.isLeaving(key))
--- a/Source/papayabend/dispatch/UpstreamGate.h
+++ b/Source/papayabend/dispatch/UpstreamGate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayabend/discovery/UpstreamDirectory.h"
 #include "papayabend/dispatch/UpstreamHolds.h"
 #include "papayabend/dispatch/UpstreamLimits.h"
 
@@ -18,6 +19,9 @@
     bool isEmpty() const { return holds.isEmpty() && limits.isEmpty(); }
 };
 
+/** Returns the key of an upstream process in the gate. */
+uint64_t keyOf(const discovery::UpstreamRecord&);
+
 /** Returns the time until the limit and the pause of the upstream with \a key allow a request, or nothing if it leaves.
  */
 std::optional<base::Duration> waitFor(const UpstreamGate&, uint64_t key, base::TimePoint now);
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -34,11 +34,6 @@
     /** Returns whether \a status means to a client that its request has not run. */
     bool isNotRunStatus(unsigned status) { return status == 429 || status == 503 || status == 408 || status == 421; }
 
-    uint64_t keyOf(const discovery::UpstreamRecord& record)
-    {
-        return dispatch::UpstreamLimits::keyOf(record.id, record.startedAt);
-    }
-
 }
 
 void Exchange::begin(GatewayState& state, const std::shared_ptr<ClientRequest>& client)
@@ -189,38 +184,6 @@
 
 base::Duration Exchange::maxConnectionWait() const { return std::max(m_hedgeDelay / 2, minConnectionWait); }
 
-bool Exchange::isHeldBack(const discovery::UpstreamRecord& record, bool isHedge, base::TimePoint now) const
-{
-    return !m_state.gate.isEmpty() && !dispatch::isOpen(m_state.gate, keyOf(record), isHedge, now);
-}
-
-base::Duration Exchange::admissionWait(base::TimePoint now) const
-{
-    if (m_state.gate.isEmpty())
-        return base::Duration(0);
-    std::vector<base::Duration> waits;
-    for (const auto& subrequest : m_subrequests) {
-        std::optional<base::Duration> shortest;
-        for (const auto* entry : m_state.content.upstreams().of(subrequest.service)) {
-            if (!dispatch::isUsable({ entry, &m_state.pool.load(entry->record.id) }, now))
-                continue;
-            if (auto wait = dispatch::waitFor(m_state.gate, keyOf(entry->record), now))
-                shortest = std::min(shortest.value_or(*wait), *wait);
-        }
-        if (shortest)
-            waits.push_back(*shortest);
-    }
-    std::ranges::sort(waits);
-    // The shortest wait after which enough subrequests find an upstream.
-    auto total = static_cast<uint32_t>(m_subrequests.size());
-    auto minShare = isFanOut() ? m_route->minShardShare : 1;
-    for (uint32_t n = 0; n < waits.size(); ++n) {
-        if (dispatch::isEnough(n + 1, total, minShare))
-            return waits[n];
-    }
-    return base::Duration(0);
-}
-
 bool Exchange::tryAttempt(Subrequest& subrequest, const char* cause, bool isHedge)
 {
     auto now = base::BootClock::now();
@@ -260,7 +223,7 @@
     }
     const auto& record = candidates[*choice].entry->record;
     if (!m_state.gate.limits.isEmpty())
-        m_state.gate.limits.take(keyOf(record), m_state.gate.limitShare, now);
+        m_state.gate.limits.take(dispatch::keyOf(record), m_state.gate.limitShare, now);
     auto attempt = createAttempt(subrequest, record);
     subrequest.tried.push_back(record.id);
     subrequest.attempts.push_back(attempt);
@@ -353,38 +316,6 @@
     return false;
 }
 
-void Exchange::recordUpstreamReport(const Subrequest& subrequest, const Attempt& attempt, const HttpResponse& answer)
-{
-    const auto* entry = m_state.content.upstreams().find(attempt.upstream);
-    if (!entry)
-        return;
-    auto now = base::BootClock::now();
-    auto report = m_state.adapter.parseUpstreamReport(answer);
-    auto log = [&](std::string_view event, auto... fields) {
-        LogFields line;
-        line.add("upstream", attempt.upstream).add("service", subrequest.service);
-        (line.add(fields.first, fields.second), ...);
-        m_state.log.write(LineClass::Change, event, line, now);
-    };
-    for (const auto& problem : report.problems)
-        log("refused", std::pair("reason", std::string_view(problem)));
-    auto key = keyOf(entry->record);
-    if (report.isLimitReadable && m_state.gate.limits.observe(key, report.requestLimit, now))
-        log("limit", std::pair("state", std::string_view(report.requestLimit ? "limited" : "unlimited")),
-            std::pair("milliRequestsPerSecond", static_cast<int64_t>(report.requestLimit.value_or(0) * 1000)));
-    if (report.isLeaving && m_state.gate.holds.addLeaving(key, now)) {
-        log("upstream", std::pair("source", std::string_view("answer")),
-            std::pair("state", std::string_view("leaving")));
-        m_state.pool.rejectWaiting(attempt.upstream, "the upstream leaves");
-    }
-    if (report.pause.value_or(base::Duration(0)).count() > 0) {
-        if (m_state.gate.holds.pauseLeft(key, now).count() == 0)
-            log("pause", std::pair("ms", base::toMilliseconds(*report.pause)));
-        m_state.gate.holds.addPause(key, *report.pause, m_state.random, now);
-        m_state.pool.rejectWaiting(attempt.upstream, "the upstream has asked for a pause");
-    }
-}
-
 void Exchange::attemptEnded(Subrequest& subrequest, const Attempt& attempt, CallResult result)
 {
     --subrequest.history.inFlight;
--- /dev/null
+++ b/Source/papayabend/gateway/ExchangeGate.cpp
@@ -0,0 +1,75 @@
+#include "papayabend/dispatch/Gather.h"
+#include "papayabend/gateway/Exchange.h"
+
+#include <algorithm>
+
+namespace papayabend::gateway {
+
+bool Exchange::isHeldBack(const discovery::UpstreamRecord& record, bool isHedge, base::TimePoint now) const
+{
+    return !m_state.gate.isEmpty() && !dispatch::isOpen(m_state.gate, dispatch::keyOf(record), isHedge, now);
+}
+
+base::Duration Exchange::admissionWait(base::TimePoint now) const
+{
+    if (m_state.gate.isEmpty())
+        return base::Duration(0);
+    std::vector<base::Duration> waits;
+    for (const auto& subrequest : m_subrequests) {
+        std::optional<base::Duration> shortest;
+        for (const auto* entry : m_state.content.upstreams().of(subrequest.service)) {
+            if (!dispatch::isUsable({ entry, &m_state.pool.load(entry->record.id) }, now))
+                continue;
+            if (auto wait = dispatch::waitFor(m_state.gate, dispatch::keyOf(entry->record), now))
+                shortest = std::min(shortest.value_or(*wait), *wait);
+        }
+        if (shortest)
+            waits.push_back(*shortest);
+    }
+    std::ranges::sort(waits);
+    // The shortest wait after which enough subrequests find an upstream.
+    auto total = static_cast<uint32_t>(m_subrequests.size());
+    auto minShare = isFanOut() ? m_route->minShardShare : 1;
+    for (uint32_t n = 0; n < waits.size(); ++n) {
+        if (dispatch::isEnough(n + 1, total, minShare))
+            return waits[n];
+    }
+    return base::Duration(0);
+}
+
+void Exchange::recordUpstreamReport(const Subrequest& subrequest, const Attempt& attempt, const HttpResponse& answer)
+{
+    const auto* entry = m_state.content.upstreams().find(attempt.upstream);
+    if (!entry)
+        return;
+    auto now = base::BootClock::now();
+    auto report = m_state.adapter.parseUpstreamReport(answer);
+    auto fields = [&] {
+        LogFields common;
+        common.add("upstream", attempt.upstream).add("service", subrequest.service);
+        return common;
+    };
+    auto log = [&](std::string_view event, const LogFields& line) {
+        m_state.log.write(LineClass::Change, event, line, now);
+    };
+    for (const auto& problem : report.problems)
+        log("refused", fields().add("reason", problem));
+    auto key = dispatch::keyOf(entry->record);
+    if (report.isLimitReadable && m_state.gate.limits.observe(key, report.requestLimit, now))
+        log("limit",
+            fields()
+                .add("state", report.requestLimit ? "limited" : "unlimited")
+                .add("milliRequestsPerSecond", static_cast<int64_t>(report.requestLimit.value_or(0) * 1000)));
+    if (report.isLeaving && m_state.gate.holds.addLeaving(key, now)) {
+        log("upstream", fields().add("source", "answer").add("state", "leaving"));
+        m_state.pool.rejectWaiting(attempt.upstream, "the upstream leaves");
+    }
+    if (report.pause.value_or(base::Duration(0)).count() > 0) {
+        if (m_state.gate.holds.pauseLeft(key, now).count() == 0)
+            log("pause", fields().add("ms", base::toMilliseconds(*report.pause)));
+        m_state.gate.holds.addPause(key, *report.pause, m_state.random, now);
+        m_state.pool.rejectWaiting(attempt.upstream, "the upstream has asked for a pause");
+    }
+}
+
+}
--- a/Source/papayabend/gateway/PeerLink.h
+++ b/Source/papayabend/gateway/PeerLink.h
@@ -34,8 +34,9 @@
  */
 struct PeerEvents {
     std::function<void(const fleet::HeartbeatMessage&)> messageReceived;
-    /** Returns the notices to send with a heartbeat. */
+    /** Returns the notices on requests that crash upstreams, to send with a heartbeat. */
     std::function<std::vector<dispatch::CrashNotice>()> crashNotices;
+    /** Returns what is known of the limits of upstreams, to send with a heartbeat. */
     std::function<std::vector<dispatch::LimitNotice>()> limitNotices;
     /** A pull has ended. */
     std::function<void(const PullResult&)> pullEnded;
@@ -85,6 +86,7 @@
     /** Ends the pull if it makes no progress, or takes too long in all. */
     void watchPull(
         const std::shared_ptr<boost::asio::steady_timer>&, base::TimePoint startedAt, uint64_t receivedBytes);
+    /** Closes the connection of the pull and reports its result. */
     void endPull(PullResult);
 
     boost::asio::io_context& m_io;
--- a/Tests/dispatch/UpstreamGateTest.cpp
+++ b/Tests/dispatch/UpstreamGateTest.cpp
@@ -65,10 +65,7 @@
             gate.limitShare = 1.0 / hostCount;
     }
 
-    static uint64_t keyOf(const SimulatedUpstream& upstream)
-    {
-        return UpstreamLimits::keyOf(upstream.entry.record.id, upstream.entry.record.startedAt);
-    }
+    static uint64_t keyOf(const SimulatedUpstream& upstream) { return dispatch::keyOf(upstream.entry.record); }
 
     void start(size_t n)
     {
