dispatch: Keep the keys of upstream processes apart

Cause: the key was the hash of the id with the start time as the seed. XXH3 mixes a text of few bytes with the seed by addition and exclusive or, so that 'u-2' and 'u-5', started some milliseconds apart, had the same key: an answer of one without a limit ended the limit of the other. The key is now the hash of a text of both. The other seeds of hashes are hashes themselves or one incarnation.

--- a/Source/papayabend/dispatch/UpstreamLimits.cpp
+++ b/Source/papayabend/dispatch/UpstreamLimits.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <string>
 
 namespace papayabend::dispatch {
 
@@ -26,7 +27,8 @@
 
 uint64_t UpstreamLimits::keyOf(std::string_view id, std::optional<int64_t> startedAt)
 {
-    return base::hash(id, static_cast<uint64_t>(startedAt.value_or(0)));
+    // The time is not used as the seed: for short texts, similar seeds and texts give equal hashes.
+    return base::hash(std::string(id) + ' ' + std::to_string(startedAt.value_or(0)));
 }
 
 bool UpstreamLimits::isKnown(const Limit& limit, base::TimePoint now)
--- a/Tests/dispatch/UpstreamLimitsTest.cpp
+++ b/Tests/dispatch/UpstreamLimitsTest.cpp
@@ -1,6 +1,8 @@
 #include "papayabend/dispatch/UpstreamLimits.h"
 
 #include <CppUTest/TestHarness.h>
+#include <set>
+#include <string>
 
 using namespace papayabend;
 using namespace papayabend::dispatch;
@@ -52,6 +54,17 @@
     LONGS_EQUAL(0, limits.count(now));
 }
 
+// Guards against two upstreams that share a key, so that the limit of one holds for, or ends with, the other.
+TEST(UpstreamLimits, UpstreamsThatStartedAtNearlyTheSameTimeHaveDifferentKeys)
+{
+    std::set<uint64_t> keys;
+    for (int id = 0; id < 50; ++id) {
+        for (int64_t time = 0; time < 400; ++time)
+            keys.insert(UpstreamLimits::keyOf("u-" + std::to_string(id), 1'796'440'800'000 + time));
+    }
+    LONGS_EQUAL(50 * 400, keys.size());
+}
+
 // Guards against an upstream that is never asked again because it named a limit of 0, or fell silent.
 TEST(UpstreamLimits, UpstreamWithALimitOfZeroIsStillAskedNowAndThen)
 {
