soak: Let upstreams name limits, ask for pauses and say that they leave

The soak checks that an upstream with a limit gets no more than one and a half times as much in 4 s, and plays two more odd entries of the list: numbers and a port out of range, and 800 nested lists.

--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -25,6 +25,7 @@
 APPLY = 3.0
 DRAIN = 3.0
 LIMIT = 3.0
+LIMIT_WINDOW = 4.0
 PORTS = {"callers": 7001, "readiness": 7002, "entry": 7003, "peers": 7004, "metrics": 7005}
 
 
@@ -68,6 +69,15 @@
         if since and self.now() - since > DRAIN + self.options.slack and self.calm_since < since:
             self.fail("request %s reached %s %.1f s after it was draining" % (rid, upstream.uid, self.now() - since))
 
+        upstream.arrived_at.append(self.now())
+        while self.now() - upstream.arrived_at[0] > LIMIT_WINDOW:
+            upstream.arrived_at.popleft()
+        named = self.now() - upstream.limited_since
+        if (upstream.limit and named > LIMIT_WINDOW + self.options.slack and self.calm_since < upstream.limited_since
+                and len(upstream.arrived_at) > 1.5 * upstream.limit * LIMIT_WINDOW + 5):
+            self.fail("%s got %d requests in %.0f s with a limit of %g a second" % (
+                upstream.uid, len(upstream.arrived_at), LIMIT_WINDOW, upstream.limit))
+
     def ran(self, upstream, rid, method, target):
         self.runs[rid] += 1
         self.run_ids[rid].add(upstream.uid)
@@ -342,7 +352,19 @@
         async def replace():
             ready = [u for u in self.upstreams.values() if u.draining_since is None]
             await self.replace(self.random.choice(ready))
-        return [change, roll, hup, replace]
+
+        async def limit():
+            upstream = self.random.choice(list(self.upstreams.values()))
+            upstream.limit, upstream.limited_since = self.random.uniform(1, 20), self.now()
+            self.note("%s names a limit of %.1f" % (upstream.uid, upstream.limit))
+            await asyncio.sleep(self.random.uniform(1, 3 * LIMIT_WINDOW))
+            upstream.limit = None
+
+        async def ask_for_pause():
+            upstream = self.random.choice(list(self.upstreams.values()))
+            upstream.pauses_until = self.now() + self.random.uniform(0.1, 3)
+            self.note("%s asks for a pause" % upstream.uid)
+        return [change, roll, hup, replace, limit, ask_for_pause]
 
     def unplanned(self):
         async def during(action, undo, seconds, text):
@@ -410,9 +432,15 @@
             self.note("the store drops its history")
             self.store.compact()
 
+        odd = {"service": "desk", "address": "127.0.0.1:70000", "zone": "z0", "max-concurrency": 10 ** 30, "state": "ready",
+               "warmup-left-ms": 1e300, "sequence": 1}
+        nested = []
+        for _ in range(800):
+            nested = [nested]
+
         async def forged():
             self.store.put("servers/x-%d" % self.random.randint(0, 3), self.random.choice(
-                [None, 7, {}, {"service": "desk"}, {"service": 1, "address": "x", "state": "up"}]))
+                [None, 7, {}, {"service": "desk"}, {"service": 1, "address": "x", "state": "up"}, odd, nested]))
         return [kill, pause, silence, resets, lose, extra, slow, store_down, store_silent, compact, forged]
 
     async def run(self):
--- a/Tests/soak/standins.py
+++ b/Tests/soak/standins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import urllib.parse
 
@@ -97,6 +98,10 @@
         self.lose = 0.0
         self.extra = 0.0
         self.draining_since = None
+        self.limit = None
+        self.arrived_at = collections.deque()
+        self.limited_since = 0.0
+        self.pauses_until = 0.0
         self.writers = set()
 
     def records(self, request_id):
@@ -108,11 +113,17 @@
         rid = headers.get("x-papayabend-request-id", "")
         method, target, _ = first.split(" ")
         echo = {"X-Papayabend-Request-Id": rid}
+        if self.draining_since:
+            echo["Server-Leaving"] = "1"
+        if self.limit:
+            echo["Server-Limit"] = "%g" % self.limit
         self.world.arrived(self, rid)
         if headers.get("x-papayabend-expect-instance") not in (None, self.uid):
             return message("HTTP/1.1 421 X", {**echo, "X-Papayabend-Instance-Id": self.uid})
-        if self.queue >= 12:
-            return message("HTTP/1.1 503 X", {**echo, "X-Papayabend-Not-Executed": "1"})
+        pause = self.pauses_until - asyncio.get_running_loop().time()
+        if self.queue >= 12 or pause > 0:
+            return message("HTTP/1.1 503 X", {**echo, "X-Papayabend-Not-Executed": "1",
+                                             "Retry-After": "%.3f" % max(pause, 0.1)})
         self.queue += 1
         try:
             async with self.slots:
