fleet: Shorten the time for which a failed receiver keeps its place

A transfer counted for 3 s if its receiver did not close the connection. When the first two receivers of a large change freeze, the others had to wait that long, which is all the time that a change may take on the first deployments. It counts for 1.5 s now. ContentPull.FrozenReceiversDoNotKeepTheContentFromOthers (8 hosts, 1 MB, links of 1 Gbit/s, both first receivers frozen, 3 s) failed before.

--- a/Source/papayabend/fleet/ContentTransfers.h
+++ b/Source/papayabend/fleet/ContentTransfers.h
@@ -25,7 +25,7 @@
     /** Most transfers at the same time. */
     static constexpr size_t maxTransfers = 2;
     /** Time after which a transfer no longer counts, in case its receiver has failed. */
-    static constexpr base::Duration maxTransferTime { std::chrono::seconds(3) };
+    static constexpr base::Duration maxTransferTime { std::chrono::milliseconds(1500) };
     /** Receivers that a refused host is referred to, at most. */
     static constexpr size_t maxReferrals = 8;
 
--- a/Tests/fleet/ContentPullTest.cpp
+++ b/Tests/fleet/ContentPullTest.cpp
@@ -24,6 +24,7 @@
     uint64_t revision { oldRevision };
     SimulatedHost* source { nullptr };
     uint64_t transferNumber { 0 };
+    bool isFrozen { false };
     double receivedBytes { 0 };
     base::TimePoint completeAt {};
 };
@@ -37,6 +38,7 @@
     base::TimePoint startedAt { 100s };
     base::TimePoint now { startedAt };
     size_t mostTransfers { 0 }; /**< From one host at the same time. */
+    size_t freezing { 0 }; /**< So many receivers, the first ones, freeze at the start of their transfer. */
 
     explicit SimulatedDomain(size_t count)
     {
@@ -75,6 +77,11 @@
         auto number = source->transfers.begin(host.fleet.self().peerAddress, source->revision, now);
         if (!number)
             return recordFruitlessPull(host.pulls, source->transfers.receiversOf(host.revision), random, now);
+        if (freezing > 0) {
+            --freezing;
+            host.isFrozen = true;
+            return;
+        }
         host.source = source;
         host.transferNumber = *number;
         host.receivedBytes = 0;
@@ -106,12 +113,14 @@
     base::Duration run(base::Duration longest)
     {
         uint64_t steps = 0;
-        auto hasContent = [](const auto& host) { return host->revision == newRevision; };
+        auto hasContent = [](const auto& host) { return host->isFrozen || host->revision == newRevision; };
         while (!std::ranges::all_of(hosts, hasContent) && now - startedAt < longest) {
             if (steps++ % 100 == 0)
                 sendHeartbeats(steps + 1);
-            for (auto& host : hosts)
-                host->source ? advance(*host) : startPull(*host);
+            for (auto& host : hosts) {
+                if (!host->isFrozen)
+                    host->source ? advance(*host) : startPull(*host);
+            }
             completeTransfers();
             now += step;
         }
@@ -157,6 +166,16 @@
     CHECK_TRUE(domain.run(60s) < 12s);
 }
 
+// Guards against receivers that freeze and keep the places of others for longer than a change may take.
+TEST(ContentPull, FrozenReceiversDoNotKeepTheContentFromOthers)
+{
+    SimulatedDomain domain(8);
+    domain.bytesPerSecond = 1e9 / 8;
+    domain.contentBytes = 1 << 20;
+    domain.freezing = ContentTransfers::maxTransfers;
+    CHECK_TRUE(domain.run(60s) < 3s);
+}
+
 // Guards against asking a busy host again although it has named others that have the content.
 TEST(ContentPull, HostsNamedByABusyHostAreAskedAtOnce)
 {
