gateway: Ask the socket before an order is sent on an idle connection

After a stall of the process the end of the pool's wait and the reset by the upstream are due at once, and the timer's handler runs before the reset has been read.

Ruled out: a longer wait (a stall may always be longer) and another order of the handlers (not ours to choose).

Change: HttpConnection::confirmIdle() reads the socket at the moment of the decision; the pool asks it after its wait for a reset, and for an idle connection if the request cannot be retried. One system call for each such request.

--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -158,6 +158,19 @@
         waitForInput();
 }
 
+bool HttpConnection::confirmIdle()
+{
+    if (!isIdle())
+        return false;
+    char byte = 0;
+    error_code ec;
+    m_socket.read_some(asio::buffer(&byte, 1), ec);
+    if (ec == asio::error::would_block)
+        return true;
+    close(ec ? ec.message() : "the peer sent data while no request was in flight");
+    return false;
+}
+
 std::string_view HttpConnection::countReceived(size_t n)
 {
     // Interim answers and answers to other requests count too, since they may come without end.
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -67,6 +67,10 @@
     /** Closes the connection. A request in flight ends as Lost. */
     void close(std::string_view reason);
 
+    /** Closes an idle connection if its peer has ended it or has sent data that nobody asked for, also if the event
+     * loop has not reported this yet; returns whether the connection is still idle. */
+    bool confirmIdle();
+
     /** Sets the function that is called when the connection is closed while it carries no request. */
     void setOnIdleEnd(std::function<void()> onEnd) { m_onIdleEnd = std::move(onEnd); }
 
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -124,10 +124,11 @@
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, resetWaitTime);
     timer->async_wait([this, id, connection, timer](const boost::system::error_code&) {
         auto* target = find(id);
-        if (target && !connection->isOpen())
+        // After a stall the reset may have arrived without having been read.
+        auto isOpen = connection->confirmIdle();
+        if (target && !isOpen)
             recordRefusedConnection(*target, *connection);
-        connectEnded(id, connection,
-            connection->isOpen() ? "" : "reset by the upstream, which is probably at its connection limit");
+        connectEnded(id, connection, isOpen ? "" : "reset by the upstream, which is probably at its connection limit");
     });
 }
 
@@ -178,7 +179,7 @@
     dispatch::addRefusedConnection(upstream.load, static_cast<uint32_t>(others), base::BootClock::now());
 }
 
-std::shared_ptr<HttpConnection> UpstreamPool::idleConnection(Upstream& upstream, bool fresh)
+std::shared_ptr<HttpConnection> UpstreamPool::idleConnection(const Upstream& upstream, bool fresh)
 {
     auto now = base::BootClock::now();
     std::shared_ptr<HttpConnection> best;
@@ -191,6 +192,9 @@
         if (!best || connection->idleSince() > best->idleSince())
             best = connection;
     }
+    // Of a request that cannot be retried, nobody would know whether it has run if the connection had ended.
+    if (best && fresh && !best->confirmIdle())
+        return idleConnection(upstream, fresh);
     return best;
 }
 
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -87,7 +87,7 @@
     /** Sends queued attempts on idle connections and opens a connection for those that remain. */
     void serveQueue(Upstream&);
     /** Returns the most recently used idle connection, if any. \a fresh: only one that was used within freshTime. */
-    std::shared_ptr<HttpConnection> idleConnection(Upstream&, bool fresh);
+    std::shared_ptr<HttpConnection> idleConnection(const Upstream&, bool fresh);
     void sendAttempt(Upstream&, const std::shared_ptr<HttpConnection>&, const std::shared_ptr<Attempt>&);
     void attemptEnded(const std::string& id, const std::shared_ptr<Attempt>&, CallResult);
     /** Ends all queued attempts as NotSent. */
--- a/Tests/gateway/ScriptedUpstream.h
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -49,6 +49,7 @@
 
     void serve(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket)
     {
+        servedSockets.push_back(socket);
         auto buf = std::make_shared<std::string>();
         boost::asio::async_read_until(*socket, boost::asio::dynamic_buffer(*buf), "\r\n\r\n",
             [this, socket, buf](const boost::system::error_code& ec, size_t n) {
@@ -97,6 +98,8 @@
     std::string body { "whole body" };
     std::string fields; /**< Further header lines of its answers, each with CRLF. */
     std::vector<std::string> requests; /**< Headers of the received requests. */
+    /** Connections on which a request was awaited, once for each request. */
+    std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> servedSockets;
     /** Connections with a request that was not answered (Silent). */
     std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> heldSockets;
 };
--- a/Tests/gateway/UpstreamPoolTest.cpp
+++ b/Tests/gateway/UpstreamPoolTest.cpp
@@ -3,6 +3,7 @@
 #include "gateway/ScriptedUpstream.h"
 
 #include <CppUTest/TestHarness.h>
+#include <thread>
 
 using namespace papayabend;
 using namespace papayabend::gateway;
@@ -124,3 +125,32 @@
     CHECK_TRUE(result && result->end == CallEnd::NotSent);
     CHECK_FALSE(attempt->isSent());
 }
+
+// Guards against the same loss after a stall of the process, when the end of the wait and the reset are due at once.
+TEST(UpstreamPool, UnreservedConnectionThatWasResetDuringAStallIsNotUsed)
+{
+    upstream.behaviour = ScriptedUpstream::Behaviour::ResetAfterAccept;
+    pool->setMaxConnections("u", 1, false);
+    auto attempt = submit(true);
+    while (upstream.acceptedConnections == 0)
+        io.run_one();
+    io.poll();
+    std::this_thread::sleep_for(50ms);
+    runToEnd(*attempt);
+    CHECK_TRUE(result && result->end == CallEnd::NotSent);
+    CHECK_FALSE(attempt->isSent());
+}
+
+// Guards against an order that is sent on an idle connection which the upstream has closed meanwhile: whether it has
+// run would remain unknown.
+TEST(UpstreamPool, OrderIsNotSentOnAConnectionThatHasEnded)
+{
+    runToEnd(*submit(false));
+    CHECK_TRUE(result && result->end == CallEnd::Answered);
+    for (const auto& socket : upstream.servedSockets)
+        socket->close();
+    auto attempt = submit(true);
+    runToEnd(*attempt);
+    CHECK_TRUE(result && result->end == CallEnd::Answered);
+    LONGS_EQUAL(2, upstream.acceptedConnections);
+}
