dispatch: Count fan-outs that upstreams turn away as overload

Cause: the concurrency limiter goes by the time in which half of the shards answer. Upstreams with a full queue refuse at once, so a fan-out fails some 60 ms after it came, before half of its shards have answered, and was not reported at all. What was reported were the few that came through, and they look fast. The limit of each host stayed at 256 and the fleet spent the queues of its upstreams on fan-outs that then failed.

Change: dispatch/FanOutPressure says which load a fan-out has met; one that fails because at least half of its failed shards were turned away counts as lost. Failures for other reasons (resets, crashes) say nothing about the load.

Not done: one bound that the fleet agrees on, and weighing of single requests.

--- a/Source/papayabend/dispatch/ConcurrencyLimiter.h
+++ b/Source/papayabend/dispatch/ConcurrencyLimiter.h
@@ -27,6 +27,9 @@
     static constexpr double overloadTime = 0.5;
     /** Relative time of half of the shards below which the limit grows. */
     static constexpr double growthTime = 0.35;
+    /** Relative time that is recorded for a fan-out which overload has kept from its shards; longer times count as this
+     * one. The limit decreases at once, by a larger factor. */
+    static constexpr double lostTime = 2;
 
     /** Counts a fan-out as running if the limit allows it; returns whether it may run. */
     bool tryAcquire(std::string_view shards, const TrafficClass&, base::TimePoint now);
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -319,6 +319,7 @@
             dispatch::addMisdirection(load, now);
         else
             load.fullUntil = now + fullUpstreamPause;
+        subrequest.wasTurnedAway = subrequest.wasTurnedAway || status != 421;
         return true;
     }
     if (isSuccess(status)) {
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -57,6 +57,7 @@
         std::optional<base::TimePoint> retryAt; /**< No upstream ran it; all may be tried again at this time. */
         base::TimePoint noHedgeUntil {}; /**< No hedge before this time: the last one found no budget or upstream. */
         std::string lastReason; /**< Why the last attempt failed, with the upstream's id. */
+        bool wasTurnedAway { false }; /**< An upstream refused an attempt for lack of room. */
         bool lacksBudget { false }; /**< The last extra attempt was denied because the retry budget was used up. */
     };
 
@@ -111,9 +112,8 @@
     void armTimer();
     void onTimer();
     void answerMerged();
-    /** Reports to the limiter, once, the time until half of the shards had answered, as a multiple of the latency
-     * objective. Reports the time so far if the request ends before, or after twice the objective. */
-    void reportHalfTime(uint32_t answered, base::TimePoint now);
+    /** Reports the load that the fan-out has met to the limiter, once, and again if it has failed for lack of room. */
+    void reportLoad(bool hasFailed, base::TimePoint now);
     void releaseLimiter();
     void finish(const Answer&, const char* outcome);
     void refuse(unsigned status, const char* outcome, const std::string& reason, base::Duration retryAfter,
@@ -153,7 +153,7 @@
     base::TimePoint m_finishedAt {};
     std::string m_reason; /**< Why the request was refused. */
     bool m_holdsLimiter { false }; /**< The request counts against the concurrency limit of its shards. */
-    bool m_isHalfTimeReported { false }; /**< reportHalfTime() has reported to the limiter. */
+    bool m_isLoadReported { false }; /**< reportLoad() has reported to the limiter. */
     bool m_isFinished { false };
     bool m_isStartingAttempts { false }; /**< decide() and armTimer() are called once after all attempts are started. */
     bool m_hasLeft { false };
--- a/Source/papayabend/gateway/ExchangeAnswer.cpp
+++ b/Source/papayabend/gateway/ExchangeAnswer.cpp
@@ -1,3 +1,4 @@
+#include "papayabend/dispatch/FanOutPressure.h"
 #include "papayabend/dispatch/RecordMerge.h"
 #include "papayabend/gateway/Exchange.h"
 
@@ -49,9 +50,10 @@
 
 void Exchange::decideFanOut(base::TimePoint now)
 {
-    reportHalfTime(m_answered, now);
     dispatch::GatherState gather { static_cast<uint32_t>(m_subrequests.size()), m_answered, m_failed };
-    switch (dispatch::decideGather(gather, m_route->minShardShare, { m_objectiveAt, m_deadlineAt }, now)) {
+    auto step = dispatch::decideGather(gather, m_route->minShardShare, { m_objectiveAt, m_deadlineAt }, now);
+    reportLoad(step == dispatch::GatherStep::Fail, now);
+    switch (step) {
     case dispatch::GatherStep::Wait:
         return;
     case dispatch::GatherStep::Answer:
@@ -67,15 +69,18 @@
     finish(plainAnswer(502, "too many shards failed"), "too_few_shards");
 }
 
-void Exchange::reportHalfTime(uint32_t answered, base::TimePoint now)
+void Exchange::reportLoad(bool hasFailed, base::TimePoint now)
 {
-    auto objective = m_objectiveAt - m_arrivedAt;
-    auto isOutOfReach = m_isFinished || now - m_arrivedAt >= 2 * objective;
-    if (m_isHalfTimeReported || (2 * answered < m_subrequests.size() && !isOutOfReach))
+    if (m_isLoadReported && !hasFailed)
         return;
-    m_isHalfTimeReported = true;
-    auto time = std::chrono::duration<double>(now - m_arrivedAt) / std::chrono::duration<double>(objective);
-    m_state.limiter.observe(m_route->shards.front(), time, now);
+    auto isLacking = [](const auto& it) { return it.phase == SubrequestPhase::Failed && it.wasTurnedAway; };
+    auto turnedAway = static_cast<uint32_t>(std::ranges::count_if(m_subrequests, isLacking));
+    auto load = dispatch::loadMet({ static_cast<uint32_t>(m_subrequests.size()), m_answered, m_failed, turnedAway,
+        now - m_arrivedAt, m_objectiveAt - m_arrivedAt, hasFailed });
+    if (!load || (m_isLoadReported && *load < dispatch::ConcurrencyLimiter::lostTime))
+        return;
+    m_isLoadReported = true;
+    m_state.limiter.observe(m_route->shards.front(), *load, now);
 }
 
 void Exchange::releaseLimiter()
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -287,6 +287,32 @@
     CHECK_EQUAL(200U, runToAnswer());
 }
 
+// Guards against a host that goes on spending the queues of its upstreams on fan-outs that fail: upstreams without room
+// refuse at once, so that such a fan-out ends early.
+TEST(Exchange, FanOutsThatUpstreamsTurnAwayCountAsOverload)
+{
+    addUpstream("s0", Behaviour::Refuse);
+    addUpstream("s1", Behaviour::Answer);
+    addFanOut("/all/", { "s0", "s1" }, 1);
+    publish();
+    begin("/all/1");
+    CHECK_EQUAL(502U, runToAnswer());
+    CHECK_TRUE(state->limiter.isOverloaded("s0"));
+    CHECK_TRUE(state->limiter.limit("s0") < 2);
+}
+
+// Guards against upstreams that reset connections and lower the limit of a host that has room.
+TEST(Exchange, FanOutsThatLoseConnectionsDoNotCountAsOverload)
+{
+    addUpstream("s0", Behaviour::ResetAfterRequest);
+    addUpstream("s1", Behaviour::Answer);
+    addFanOut("/all/", { "s0", "s1" }, 1);
+    publish();
+    begin("/all/1");
+    CHECK_EQUAL(502U, runToAnswer());
+    CHECK_FALSE(state->limiter.isOverloaded("s0"));
+}
+
 // Guards against a request that waits for a connection until its deadline. It must be refused at its latency objective,
 // so that the client has time to try another host.
 TEST(Exchange, RequestThatFindsNoConnectionIsRefusedAtItsObjective)
