dispatch: Derive the way back of an answer from its connection

One constant stood for a way that differs: 6 ms from a kept connection of the own failure domain, 30 ms on a new one from another domain, and twice 6 ms more if the caller has asked for addresses before, which entry answers that are valid for 1 s make it do before about every second request.

Change: dispatch/ReturnTime computes the time from the round trip of the connection (TCP_INFO), whether it is new, the question, and the delay of the process's own timers; it replaces the constant for the objective and the deadline. A host can't see whether the caller has asked; it is assumed.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-    // Subtracted from the client's time limit for the transfer of the answer to the client, and for the transfer of the
-    // request to this host, which the client counts too.
-    constexpr base::Duration returnMargin { std::chrono::milliseconds(12) };
     // Subtracted from the time that an upstream is granted, so that its answer can still be forwarded.
     constexpr base::Duration upstreamMargin { std::chrono::milliseconds(5) };
     // Attempts that are no longer needed have this time to end by themselves, because cancelling one closes its
@@ -139,13 +136,15 @@
         time = std::min<base::Duration>(time, std::chrono::milliseconds(std::min<uint64_t>(*left, 3'600'000)));
     if (time == base::Duration::max())
         time = std::chrono::minutes(1);
-    m_deadlineAt = m_arrivedAt + std::max(time - returnMargin, time / 2);
+    auto now = base::BootClock::now();
+    auto returnTime = dispatch::returnTime(m_client->path, m_state.turnDelay, now);
+    m_deadlineAt = m_arrivedAt + std::max(time - returnTime, time / 2);
     auto objective = m_route->latencyObjective.count() > 0 ? m_route->latencyObjective : time;
-    m_objectiveAt = m_arrivedAt + std::max(objective - returnMargin, objective / 2);
+    m_objectiveAt = m_arrivedAt + std::max(objective - returnTime, objective / 2);
     m_latency = &m_state.latency[m_route->name];
     if (!m_state.endsAt)
         return true;
-    auto isAdmitted = admitDuringStop(*m_state.endsAt, base::BootClock::now());
+    auto isAdmitted = admitDuringStop(*m_state.endsAt, now);
     m_deadlineAt = std::min(m_deadlineAt, *m_state.endsAt);
     return isAdmitted;
 }
@@ -491,10 +490,13 @@
 
 void Exchange::onTimer()
 {
+    auto now = base::BootClock::now();
+    if (m_timerDueAt)
+        dispatch::observe(m_state.turnDelay, now - *m_timerDueAt, now);
     m_timerDueAt.reset();
     if (m_isFinished)
         return cancelAttempts("no longer needed");
-    runDueWork(base::BootClock::now());
+    runDueWork(now);
     decide();
     armTimer();
 }
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include "papayabend/dispatch/CrashSuspects.h"
 #include "papayabend/dispatch/LatencyEstimate.h"
 #include "papayabend/dispatch/RetryBudget.h"
+#include "papayabend/dispatch/ReturnTime.h"
 #include "papayabend/dispatch/UpstreamGate.h"
 #include "papayabend/fleet/BudgetShare.h"
 #include "papayabend/fleet/FleetView.h"
@@ -48,6 +49,7 @@
     routes::SplitChoice split;
     std::unordered_map<std::string, dispatch::LatencyEstimate> latency; /**< By route name. */
     base::Random random;
+    dispatch::TurnDelay turnDelay;
     /** Time of the last answer of the store, or of the last heartbeat of another host that stated no newer revision
      * than this host's. */
     base::TimePoint contentConfirmedAt {};
--- a/Source/papayabend/gateway/HttpListener.cpp
+++ b/Source/papayabend/gateway/HttpListener.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
 #include <optional>
+#include <sys/socket.h>
 #include <unordered_set>
 
 namespace papayabend::gateway {
@@ -41,6 +43,16 @@
         Lingering, // the last answer was written; input is discarded until the client closes
     };
 
+    /** Returns the round trip that the kernel has measured on a connection, or 0 if it tells none. */
+    base::Duration roundTripOf(tcp::socket& socket)
+    {
+        tcp_info info {};
+        socklen_t n = sizeof(info);
+        if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &n) != 0)
+            return base::Duration(0);
+        return std::chrono::microseconds(info.tcpi_rtt);
+    }
+
 }
 
 /** \struct HttpListener::Impl
@@ -89,6 +101,7 @@
         error_code ec;
         socket.set_option(tcp::no_delay(true), ec);
         socket.non_blocking(true, ec);
+        path = { roundTripOf(socket), true };
         nextRequest();
         waitForInput();
     }
@@ -186,6 +199,8 @@
         isHead = parser->get().method() == http::verb::head;
         request->message = parser->release();
         request->arrivedAt = base::BootClock::now();
+        request->path = path;
+        path.isNewConnection = false;
         request->answer = [weak = weak_from_this(), sent = request.get()](const Answer& answer) {
             auto self = weak.lock();
             if (self && self->request.get() == sent)
@@ -286,6 +301,7 @@
     tcp::socket socket;
     std::optional<Parser> parser;
     std::shared_ptr<ClientRequest> request;
+    dispatch::CallerPath path;
     std::string input;
     std::string output;
     std::shared_ptr<void> heldUntilReceived; // of the last answer
--- a/Source/papayabend/gateway/HttpListener.h
+++ b/Source/papayabend/gateway/HttpListener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayabend/base/Time.h"
+#include "papayabend/dispatch/ReturnTime.h"
 #include "papayabend/gateway/HttpMessage.h"
 #include "papayabend/routes/Configuration.h"
 
@@ -17,6 +18,7 @@
 struct ClientRequest {
     HttpRequest message;
     base::TimePoint arrivedAt {}; /**< When the last byte of the request was read. */
+    dispatch::CallerPath path; /**< Of the connection on which it came. */
     std::function<void(const Answer&)> answer; /**< Call it once; it does nothing after the client has disconnected. */
     std::function<void()> onClientLeft; /**< Set by the handler; called if the client disconnects unanswered. */
 };
--- a/Tests/gateway/HttpListenerTest.cpp
+++ b/Tests/gateway/HttpListenerTest.cpp
@@ -17,12 +17,14 @@
     std::string address;
     std::unique_ptr<HttpListener> listener;
     std::vector<std::string> bodies;
+    std::vector<dispatch::CallerPath> paths;
     std::shared_ptr<ClientRequest> held;
     bool holds { false };
 
     void setup() override
     {
         listener = std::make_unique<HttpListener>(io, [this](const std::shared_ptr<ClientRequest>& request) {
+            paths.push_back(request->path);
             bodies.push_back(std::string(request->message.target()) + ' ' + request->message.body());
             if (holds) {
                 held = request;
@@ -182,3 +184,15 @@
     CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
     CHECK_TRUE(bodies.empty());
 }
+
+// Guards against a host that takes each request for one on a kept connection, or does not learn the round trip, and
+// answers later than its caller can bear.
+TEST(HttpListener, RequestsCarryThePathOfTheirConnection)
+{
+    exchange("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    LONGS_EQUAL(2, paths.size());
+    CHECK_TRUE(paths[0].isNewConnection);
+    CHECK_FALSE(paths[1].isNewConnection);
+    CHECK_TRUE(paths[0].roundTrip > 0us);
+    CHECK_TRUE(paths[0].roundTrip < 1s);
+}
