gateway: Measure the load of a fan-out by the objective of its route

Cause: since the way back of a caller is taken off the objective, the time of half of the shards was set against what was left for this host, 40 ms of 80 for a new connection from another failure domain. Callers with a long way back would have counted as overload and stopped the hedges of all others. Found in reading the change; a test with a round trip of 50 ms shows it.

Change: reportLoad() uses the objective of the route.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -139,8 +139,8 @@
     auto now = base::BootClock::now();
     auto returnTime = dispatch::returnTime(m_client->path, m_state.turnDelay, now);
     m_deadlineAt = m_arrivedAt + std::max(time - returnTime, time / 2);
-    auto objective = m_route->latencyObjective.count() > 0 ? m_route->latencyObjective : time;
-    m_objectiveAt = m_arrivedAt + std::max(objective - returnTime, objective / 2);
+    m_objective = m_route->latencyObjective.count() > 0 ? m_route->latencyObjective : time;
+    m_objectiveAt = m_arrivedAt + std::max(m_objective - returnTime, m_objective / 2);
     m_latency = &m_state.latency[m_route->name];
     if (!m_state.endsAt)
         return true;
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -140,7 +140,8 @@
     uint64_t m_fingerprint { 0 };
     base::TimePoint m_arrivedAt {};
     base::TimePoint m_deadlineAt {};
-    base::TimePoint m_objectiveAt {}; /**< Arrival plus the latency objective of the route. */
+    base::Duration m_objective { 0 }; /**< Latency objective of the route, or the time of the request if it has none. */
+    base::TimePoint m_objectiveAt {}; /**< When an answer has to leave to reach the caller within the objective. */
     dispatch::TrafficClass m_trafficClass;
     base::Duration m_hedgeDelay { 0 };
     dispatch::LatencyEstimate* m_latency { nullptr }; /**< Latency of the route. */
--- a/Source/papayabend/gateway/ExchangeAnswer.cpp
+++ b/Source/papayabend/gateway/ExchangeAnswer.cpp
@@ -76,7 +76,7 @@
     auto isLacking = [](const auto& it) { return it.phase == SubrequestPhase::Failed && it.wasTurnedAway; };
     auto turnedAway = static_cast<uint32_t>(std::ranges::count_if(m_subrequests, isLacking));
     auto load = dispatch::loadMet({ static_cast<uint32_t>(m_subrequests.size()), m_answered, m_failed, turnedAway,
-        now - m_arrivedAt, m_objectiveAt - m_arrivedAt, hasFailed });
+        now - m_arrivedAt, m_objective, hasFailed });
     if (!load || (m_isLoadReported && *load < dispatch::ConcurrencyLimiter::lostTime))
         return;
     m_isLoadReported = true;
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -140,7 +140,7 @@
             state->pool.setMaxConnections(id, 2);
     }
 
-    void begin(const std::string& target)
+    void begin(const std::string& target, const dispatch::CallerPath& path = {})
     {
         answer.reset();
         client = std::make_shared<ClientRequest>();
@@ -150,6 +150,7 @@
         client->message.set("X-Id", "7");
         client->message.set("X-Left", "4000");
         client->arrivedAt = base::BootClock::now();
+        client->path = path;
         client->answer = [this, own = client.get()](const Answer& it) {
             if (own == client.get())
                 answer = it;
@@ -301,6 +302,20 @@
     CHECK_TRUE(state->limiter.limit("s0") < 2);
 }
 
+// Guards against callers with a long way back whose fan-outs count as slow ones, and stop the hedges of all others: the
+// load is measured by the objective of the route, not by what is left of it for this host.
+TEST(Exchange, WayBackOfACallerIsNotLoad)
+{
+    addUpstream("s0", Behaviour::Answer).delay = 80ms;
+    addFanOut("/all/", { "s0" }, 1);
+    publish();
+    for (int n = 0; n < 8; ++n) {
+        begin("/all/1", { .roundTrip = 50ms, .isNewConnection = true });
+        CHECK_EQUAL(200U, runToAnswer());
+    }
+    CHECK_FALSE(state->limiter.isOverloaded("s0"));
+}
+
 // Guards against upstreams that reset connections and lower the limit of a host that has room.
 TEST(Exchange, FanOutsThatLoseConnectionsDoNotCountAsOverload)
 {
--- a/Tests/gateway/ScriptedUpstream.h
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -34,16 +34,16 @@
             if (behaviour == Behaviour::ResetOnAccept)
                 react(accepted);
             else if (behaviour == Behaviour::ResetAfterAccept)
-                reactAfterDelay(accepted);
+                reactAfterDelay(accepted, std::chrono::milliseconds(3));
             else
                 serve(accepted);
             accept();
         });
     }
 
-    void reactAfterDelay(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket)
+    void reactAfterDelay(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket, std::chrono::milliseconds pause)
     {
-        auto timer = std::make_shared<boost::asio::steady_timer>(io, std::chrono::milliseconds(3));
+        auto timer = std::make_shared<boost::asio::steady_timer>(io, pause);
         timer->async_wait([this, socket, timer](const boost::system::error_code&) { react(socket); });
     }
 
@@ -56,7 +56,10 @@
                 if (ec)
                     return;
                 requests.push_back(buf->substr(0, n));
-                react(socket);
+                if (delay.count() > 0)
+                    reactAfterDelay(socket, delay);
+                else
+                    react(socket);
             });
     }
 
@@ -94,6 +97,7 @@
     std::string address;
     size_t acceptedConnections { 0 };
     Behaviour behaviour { Behaviour::Answer };
+    std::chrono::milliseconds delay { 0 }; /**< From a request to the reaction to it. */
     std::string signature { "proof" };
     std::string body { "whole body" };
     std::string fields; /**< Further header lines of its answers, each with CRLF. */
