gateway: Log what a host counts against a request that ends upstreams

What callers saw: a request that ended eight upstreams was refused by no host. The log gave the attempts of each host, but not what it counted, nor what notices of other hosts or answers changed, so that the three hypotheses of the incident could not be told apart from it. The event "suspect" says so. No decision is changed; the tests of gateway and dispatch pass.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/gateway/Exchange.h"
 
 #include "papayabend/dispatch/StopAdmission.h"
+#include "papayabend/gateway/SuspectLog.h"
 
 #include <algorithm>
 #include <cmath>
@@ -303,8 +304,11 @@
             dispatch::addLatency(load, now - attempt.sentAt, base::Duration(static_cast<int64_t>(latency.median)), now);
         else
             dispatch::addFailure(load, now);
-        if (!m_isFinished && result.end == CallEnd::Lost && !result.hadAnswerBytes)
+        if (!m_isFinished && result.end == CallEnd::Lost && !result.hadAnswerBytes) {
             m_state.suspects.addCrash(m_fingerprint, now);
+            auto losses = m_state.suspects.crashes(m_fingerprint, now);
+            logSuspect(m_state.log, { "attempt", m_fingerprint, losses, m_id, attempt.upstream }, now);
+        }
         return false;
     }
     auto status = result.answer.result_int();
@@ -325,6 +329,8 @@
         auto duration = now - attempt.sentAt;
         dispatch::addLatency(load, duration, base::Duration(static_cast<int64_t>(latency.median)), now);
         dispatch::addSample(latency, duration);
+        if (m_state.suspects.crashes(m_fingerprint, now) > 0)
+            logSuspect(m_state.log, { "answer", m_fingerprint, 0, m_id, attempt.upstream }, now);
         m_state.suspects.clear(m_fingerprint);
     } else if (status >= 500) {
         dispatch::addFailure(load, now);
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/fleet/Roles.h"
 #include "papayabend/gateway/GatewayHost.h"
+#include "papayabend/gateway/SuspectLog.h"
 
 #include <algorithm>
 
@@ -235,7 +236,7 @@
         if (isNewer && isStart && &heartbeat == message.heartbeats.data())
             m_peerLink.sendKnownHosts(heartbeat.peerAddress);
     }
-    m_state.suspects.merge(message.crashes, now);
+    mergeCrashNotices(message.crashes, now);
     m_state.gate.limits.merge(message.limits, now);
     if (m_state.fleet.members().size() != before) {
         logEvent("fleet", LogFields().add("hosts", static_cast<int64_t>(m_state.fleet.members().size() + 1)));
@@ -246,6 +247,19 @@
     pullIfBehind(now);
 }
 
+void GatewayHost::mergeCrashNotices(std::span<const dispatch::CrashNotice> notices, base::TimePoint now)
+{
+    std::vector<uint32_t> before;
+    std::ranges::transform(notices, std::back_inserter(before),
+        [&](const auto& it) { return m_state.suspects.crashes(it.fingerprint, now); });
+    m_state.suspects.merge(notices, now);
+    for (size_t n = 0; n < notices.size(); ++n) {
+        auto losses = m_state.suspects.crashes(notices[n].fingerprint, now);
+        if (losses != before[n])
+            logSuspect(m_log, { "peer", notices[n].fingerprint, losses, {}, {} }, now);
+    }
+}
+
 void GatewayHost::applyPushedChanges(const fleet::HeartbeatMessage& message)
 {
     base::LastReason reason;
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -66,6 +66,8 @@
     void pullAgain(const PullResult&, bool hasAdvanced);
     void handleHeartbeats(const fleet::HeartbeatMessage&);
     /** Applies the changes that another host has sent with its heartbeat. */
+    /** Applies what another host knows of requests that end upstreams, and logs what is new. */
+    void mergeCrashNotices(std::span<const dispatch::CrashNotice>, base::TimePoint now);
     void applyPushedChanges(const fleet::HeartbeatMessage&);
     /** Pulls the content of a host with a newer revision if fleet::choosePullSource() names one. */
     void pullIfBehind(base::TimePoint now);
