dispatch: Add up over all hosts which upstreams a request has ended

What callers saw: a request ended eight upstreams, all that two services had, and order-check was refused for two seconds.

Cause: each host counted the upstreams that it lost itself, told nobody of a first one, and of two counts the higher one was kept. A caller comes back at another host, so that eight hosts with a count of one never refuse. The class: a belief that hosts hold in common, exchanged as a number, though numbers of different observers cannot be merged. CrashSuspects is right in leaving the service out of the fingerprint (in the incident the route led to another service meanwhile), in telling apart two processes under one name, and in repeating its notices for hosts that start or were cut off.

Change: hosts exchange (request, upstream process, service, state); each counts the union. A state only rises, so that messages may come in any order: an answer voids the losses of its service and leaves those of others to count for their service alone; a connection that the upstream accepts after the loss shows that it still runs, and voids the loss. Any end by the peer counts, also in the middle of an answer or after the caller has been answered; a connection that this host closes, or that the network loses, does not. After 120 s the request is admitted again, and one more loss refuses it. A message holds eight requests, those with most losses first; the old element with numbers stays for hosts of previous versions, and the nesting does too.

--- a/Source/papayabend/dispatch/CrashSuspects.h
+++ b/Source/papayabend/dispatch/CrashSuspects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayabend/base/Random.h"
 #include "papayabend/base/Time.h"
 
 #include <cstdint>
@@ -10,52 +11,112 @@
 
 namespace papayabend::dispatch {
 
+/** \enum LossState
+ * \brief How far a lost upstream counts against the request that it ran. Only ever rises.
+ */
+enum class LossState : uint8_t {
+    Counted, /**< Against the request as a whole. */
+    ServiceOnly, /**< Only together with losses of the same service, since another service has answered the request. */
+    Void, /**< Not at all: its service has answered the request later, or the process has not ended. */
+};
+
+/** \struct UpstreamLoss
+ * \brief An upstream process that ended a connection while it ran a request.
+ */
+struct UpstreamLoss {
+    uint64_t upstream { 0 }; /**< Key of the process, see dispatch::keyOf(). */
+    uint32_t service { 0 }; /**< See CrashSuspects::serviceKey(). */
+    LossState state { LossState::Counted };
+    base::TimePoint lostAt {};
+};
+
 /** \struct CrashNotice
- * \brief Number of upstreams that were lost while they ran a request, as exchanged between hosts.
+ * \brief An UpstreamLoss of a request as exchanged between hosts, whose clocks differ.
  */
 struct CrashNotice {
     uint64_t fingerprint { 0 }; /**< Of the request, see CrashSuspects::fingerprintOf(). */
-    uint32_t crashes { 0 };
+    uint64_t upstream { 0 };
+    uint32_t service { 0 };
+    LossState state { LossState::Counted };
+    base::Duration age { 0 }; /**< Time since the loss. */
 };
 
 /** \class CrashSuspects
- * \brief Counts the upstreams that were lost while they ran a request, by a hash of the request.
+ * \brief Detects requests that end the upstreams that run them, over all hosts, by a hash of the request.
  *
- * A request with maxCrashes lost upstreams is refused on every host until suspectLifetime has passed. Not safe for use
- * by several threads.
+ * Hosts exchange which upstream processes were lost under a request, and each counts the union: callers repeat a
+ * request at any host, so that no single one sees enough. The request is refused once maxLosses upstreams count against
+ * it, either of one service or of all together. An answer shows that the request does not end upstreams of that service
+ * (LossState). After refusalTime it is admitted again, and one more loss refuses it anew. Not safe for use by several
+ * threads.
  */
 class CrashSuspects {
 public:
     /** Lost upstreams after which a request is refused. */
-    static constexpr uint32_t maxCrashes = 3;
-    /** Time for which a count is kept after its newest crash, and so for which a request is refused; longer than the
-     * time between a caller's retries. */
-    static constexpr base::Duration suspectLifetime { std::chrono::seconds(120) };
-    /** Number of requests whose counts are kept, which bounds the memory. */
+    static constexpr uint32_t maxLosses = 3;
+    /** Time after its newest loss for which a request is refused; longer than the time between a caller's retries. */
+    static constexpr base::Duration refusalTime { std::chrono::seconds(120) };
+    /** Time after its newest loss for which the losses of a request are kept that has been refused. */
+    static constexpr base::Duration refusedLifetime { std::chrono::minutes(10) };
+    /** Number of requests whose losses are kept, and of losses kept for each, which bound the memory. */
     static constexpr size_t maxSuspects = 4096;
+    static constexpr size_t maxKeptLosses = 8;
+    /** Most requests in a message to another host, which bounds its size. */
+    static constexpr size_t maxNoticedRequests = 8;
+    /** Time after a change for which it is in each message. Later only maxOldRequests refused ones are, for hosts that
+     * have started or were cut off meanwhile. */
+    static constexpr base::Duration freshTime { std::chrono::seconds(10) };
+    static constexpr size_t maxOldRequests = 2;
 
-    /** Returns a hash of the request: method, virtual host, target and body. */
+    /** Returns a hash of the request: method, virtual host, target and body. It does not contain the service, as a new
+     * configuration may lead the request to another one. */
     static uint64_t fingerprintOf(
         std::string_view method, std::string_view host, std::string_view target, std::string_view body);
+    static uint32_t serviceKey(std::string_view service);
 
-    /** Counts an upstream whose connection was lost with the request in flight. */
-    void addCrash(uint64_t fingerprint, base::TimePoint now);
-    /** Removes the count of a request that an upstream has answered, which shows that it does not crash upstreams. */
-    void clear(uint64_t fingerprint);
-    /** Merges the counts of another host: of each request, the higher count is kept. */
+    /** Records an upstream process that ended its connection with the request in flight. Each process counts once. */
+    void addLoss(uint64_t fingerprint, uint64_t upstream, std::string_view service, base::TimePoint now);
+    /** Records that an upstream of \a service has run the request to its end. Returns whether fewer losses count now.
+     */
+    bool addAnswer(uint64_t fingerprint, std::string_view service, base::TimePoint now);
+    /** Records that the process has not ended, although it was counted under the request. */
+    void voidLoss(uint64_t fingerprint, uint64_t upstream, base::TimePoint now);
+    /** Applies what another host knows. */
     void merge(std::span<const CrashNotice>, base::TimePoint now);
 
-    uint32_t crashes(uint64_t fingerprint, base::TimePoint now) const;
-    bool isRefused(uint64_t fingerprint, base::TimePoint now) const { return crashes(fingerprint, now) >= maxCrashes; }
-    /** Returns the counts to send to other hosts: those of two crashes or more. */
-    std::vector<CrashNotice> notices(base::TimePoint now) const;
+    /** Returns the number of losses that count against the request: of all services together, or of the one with most.
+     */
+    uint32_t losses(uint64_t fingerprint, base::TimePoint now) const;
+    bool isRefused(uint64_t fingerprint, base::TimePoint now) const { return refusedFor(fingerprint, now).count() > 0; }
+    /** Returns the time until the request is admitted again; 0 if it is now. */
+    base::Duration refusedFor(uint64_t fingerprint, base::TimePoint now) const;
+
+    /** Returns what to send to other hosts: changes first, those of requests with most losses before others. */
+    std::vector<CrashNotice> notices(base::Random&, base::TimePoint now) const;
+    /** Returns whether a request has come to be refused since the last call, which other hosts should learn at once. */
+    bool takeNewRefusal();
 
 private:
     struct Suspect {
-        uint32_t crashes { 0 };
-        base::TimePoint countedAt {}; /**< Time at which the count last rose. */
+        std::vector<UpstreamLoss> losses;
+        uint32_t count { 0 }; /**< Losses that count against the request, see losses(). */
+        base::TimePoint newestLossAt {};
+        base::TimePoint changedAt {}; /**< When this host's knowledge last changed. */
     };
-    std::unordered_map<uint64_t, Suspect> m_suspects;
+    using Suspects = std::unordered_map<uint64_t, Suspect>;
+
+    static uint32_t countLosses(std::span<const UpstreamLoss>);
+    static bool isExpired(const Suspect&, base::TimePoint now);
+    const Suspect* find(uint64_t fingerprint, base::TimePoint now) const;
+    /** Returns the suspect, which is created if need be at the expense of the least relevant one. */
+    Suspect& findOrCreate(uint64_t fingerprint, base::TimePoint now);
+    void insert(Suspect&, const UpstreamLoss&, base::TimePoint now);
+    /** Updates what follows from the losses after a change of them. */
+    void lossesChanged(Suspect&, base::TimePoint now);
+
+    Suspects m_suspects;
+    base::TimePoint m_prunedAt {};
+    bool m_hasNewRefusal { false };
 };
 
 }
--- a/Source/papayabend/fleet/HeartbeatCodec.cpp
+++ b/Source/papayabend/fleet/HeartbeatCodec.cpp
@@ -3,6 +3,8 @@
 #include "papayabend/base/CborDepth.h"
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace papayabend::fleet {
@@ -24,6 +26,33 @@
             heartbeat.load, heartbeat.demand });
     }
 
+    // Hosts of previous versions expect the number of lost upstreams of each request, and no deeper nesting.
+    json lossCounts(std::span<const dispatch::CrashNotice> notices)
+    {
+        std::map<uint64_t, uint32_t> counts;
+        for (const auto& notice : notices)
+            counts[notice.fingerprint] += notice.state == dispatch::LossState::Counted ? 1 : 0;
+        auto array = json::array();
+        for (const auto& [fingerprint, count] : counts) {
+            if (count >= 2)
+                array.push_back(json::array({ fingerprint, count }));
+        }
+        return array;
+    }
+
+    json toJson(const dispatch::CrashNotice& notice)
+    {
+        return json::array({ notice.fingerprint, notice.upstream, notice.service, static_cast<unsigned>(notice.state),
+            notice.age.count() });
+    }
+
+    dispatch::CrashNotice crashNoticeOf(const json& value)
+    {
+        auto state = std::min(value.at(3).get<unsigned>(), static_cast<unsigned>(dispatch::LossState::Void));
+        return { value.at(0).get<uint64_t>(), value.at(1).get<uint64_t>(), value.at(2).get<uint32_t>(),
+            static_cast<dispatch::LossState>(state), base::Duration(value.at(4).get<int64_t>()) };
+    }
+
     Heartbeat heartbeatOf(const json& value)
     {
         // Hosts of previous versions do not send the load and the demand.
@@ -43,13 +72,13 @@
     for (const auto& heartbeat : message.heartbeats)
         heartbeats.push_back(toJson(heartbeat));
     auto crashes = json::array();
-    for (const auto& notice : message.crashes)
-        crashes.push_back(json::array({ notice.fingerprint, notice.crashes }));
+    std::ranges::transform(
+        message.crashes, std::back_inserter(crashes), [](const auto& notice) { return toJson(notice); });
     auto limits = json::array();
     for (const auto& notice : message.limits)
         limits.push_back(json::array({ notice.upstream, notice.perSecond.value_or(noLimit), notice.age.count() }));
     std::string bytes;
-    json::to_cbor(json::array({ heartbeats, crashes, message.changes, limits }), bytes);
+    json::to_cbor(json::array({ heartbeats, lossCounts(message.crashes), message.changes, limits, crashes }), bytes);
     return bytes;
 }
 
@@ -63,10 +92,9 @@
         HeartbeatMessage message;
         for (const auto& heartbeat : value.at(0))
             message.heartbeats.push_back(heartbeatOf(heartbeat));
-        for (const auto& notice : value.at(1))
-            message.crashes.push_back({ notice.at(0).get<uint64_t>(), notice.at(1).get<uint32_t>() });
         message.changes = value.at(2).get<std::string>();
         constexpr size_t limitsIndex = 3;
+        constexpr size_t crashesIndex = 4;
         if (value.size() <= limitsIndex)
             return message;
         for (const auto& notice : value.at(limitsIndex)) {
@@ -74,6 +102,10 @@
             message.limits.push_back({ notice.at(0).get<uint64_t>(), limit >= 0 ? std::optional(limit) : std::nullopt,
                 base::Duration(notice.at(2).get<int64_t>()) });
         }
+        if (value.size() <= crashesIndex)
+            return message;
+        for (const auto& notice : value.at(crashesIndex))
+            message.crashes.push_back(crashNoticeOf(notice));
         return message;
     } catch (const json::exception& error) {
         return base::fail(reason, std::string("not a heartbeat message: ") + error.what());
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -55,9 +55,8 @@
     if (!readRequest())
         return;
     auto now = base::BootClock::now();
-    if (m_state.suspects.isRefused(m_fingerprint, now))
-        return refuse(503, "quarantined", "the request is quarantined: it has crashed upstreams before",
-            std::chrono::seconds(60));
+    if (auto left = m_state.suspects.refusedFor(m_fingerprint, now); left.count() > 0)
+        return refuse(503, "quarantined", "the request is quarantined: upstreams have ended while they ran it", left);
     if (isFanOut()) {
         for (const auto& shard : m_route->shards)
             m_subrequests.emplace_back().service = shard;
@@ -304,11 +303,8 @@
             dispatch::addLatency(load, now - attempt.sentAt, base::Duration(static_cast<int64_t>(latency.median)), now);
         else
             dispatch::addFailure(load, now);
-        if (!m_isFinished && result.end == CallEnd::Lost && !result.hadAnswerBytes) {
-            m_state.suspects.addCrash(m_fingerprint, now);
-            auto losses = m_state.suspects.crashes(m_fingerprint, now);
-            logSuspect(m_state.log, { "attempt", m_fingerprint, losses, m_id, attempt.upstream }, now);
-        }
+        if (result.end == CallEnd::Lost && result.isEndedByPeer)
+            recordLoss(subrequest, attempt, now);
         return false;
     }
     auto status = result.answer.result_int();
@@ -325,19 +321,45 @@
         subrequest.wasTurnedAway = subrequest.wasTurnedAway || status != 421;
         return true;
     }
+    if (isSuccess(status) || !fieldOf(result.answer, m_state.adapter.headers.signature).empty())
+        recordRun(subrequest, attempt, now);
     if (isSuccess(status)) {
         auto duration = now - attempt.sentAt;
         dispatch::addLatency(load, duration, base::Duration(static_cast<int64_t>(latency.median)), now);
         dispatch::addSample(latency, duration);
-        if (m_state.suspects.crashes(m_fingerprint, now) > 0)
-            logSuspect(m_state.log, { "answer", m_fingerprint, 0, m_id, attempt.upstream }, now);
-        m_state.suspects.clear(m_fingerprint);
     } else if (status >= 500) {
         dispatch::addFailure(load, now);
     }
     return false;
 }
 
+void Exchange::recordLoss(const Subrequest& subrequest, const Attempt& attempt, base::TimePoint now)
+{
+    const auto* entry = m_state.content.upstreams().find(attempt.upstream);
+    if (!entry)
+        return;
+    auto upstream = dispatch::keyOf(entry->record);
+    m_state.suspects.addLoss(m_fingerprint, upstream, subrequest.service, now);
+    auto log = [&state = m_state, fingerprint = m_fingerprint, id = m_id, name = attempt.upstream](
+                   std::string_view source, base::TimePoint at) {
+        logSuspect(state.log, { source, fingerprint, state.suspects.losses(fingerprint, at), id, name }, at);
+    };
+    log("attempt", now);
+    m_state.pool.probe(
+        attempt.upstream, [&state = m_state, fingerprint = m_fingerprint, upstream, log = std::move(log)] {
+            auto at = base::BootClock::now();
+            state.suspects.voidLoss(fingerprint, upstream, at);
+            log("probe", at);
+        });
+}
+
+void Exchange::recordRun(const Subrequest& subrequest, const Attempt& attempt, base::TimePoint now)
+{
+    if (m_state.suspects.addAnswer(m_fingerprint, subrequest.service, now))
+        logSuspect(m_state.log,
+            { "answer", m_fingerprint, m_state.suspects.losses(m_fingerprint, now), m_id, attempt.upstream }, now);
+}
+
 void Exchange::attemptEnded(Subrequest& subrequest, const Attempt& attempt, CallResult result)
 {
     --subrequest.history.inFlight;
@@ -434,8 +456,9 @@
         }
         replaceWaitingAttempt(subrequest, now);
         auto mayHedge = !isFanOut() || !m_state.limiter.isOverloaded(m_route->shards.front());
-        if (mayHedge && now >= subrequest.noHedgeUntil && dispatch::isHedgeDue(policy(), subrequest.history, now)
-            && !tryAttempt(subrequest, "late", true))
+        if (!mayHedge || now < subrequest.noHedgeUntil || !dispatch::isHedgeDue(policy(), subrequest.history, now))
+            continue;
+        if (!tryAttempt(subrequest, "late", true))
             subrequest.noHedgeUntil = now + (m_state.gate.limits.isEmpty() ? hedgeRetryPause : limitedHedgeRetryPause);
     }
     m_isStartingAttempts = false;
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -87,6 +87,11 @@
     /** Updates the upstream's load, latency and crash records with the result of an attempt; returns whether the
      * attempt is proven not to have run. */
     bool recordAttemptResult(Subrequest&, const Attempt&, const CallResult&);
+    /** Counts an upstream that ended the connection with the request in flight against the request, until a new
+     * connection shows that the upstream still runs. */
+    void recordLoss(const Subrequest&, const Attempt&, base::TimePoint now);
+    /** Records that an upstream has run the request to its end. */
+    void recordRun(const Subrequest&, const Attempt&, base::TimePoint now);
     /** Records what the upstream has said about itself in its answer, and logs changes. */
     void recordUpstreamReport(const Subrequest&, const Attempt&, const HttpResponse&);
     /** Accepts an upstream's answer or retries. Answers with a content encoding are not accepted. A signed success is
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -3,6 +3,7 @@
 #include "papayabend/gateway/SuspectLog.h"
 
 #include <algorithm>
+#include <map>
 
 namespace papayabend::gateway {
 
@@ -62,7 +63,7 @@
 {
     PeerEvents events;
     events.messageReceived = [this](const fleet::HeartbeatMessage& message) { handleHeartbeats(message); };
-    events.crashNotices = [this] { return m_state.suspects.notices(base::BootClock::now()); };
+    events.crashNotices = [this] { return m_state.suspects.notices(m_state.random, base::BootClock::now()); };
     events.limitNotices = [this] { return m_state.gate.limits.notices(m_state.random, base::BootClock::now()); };
     events.messageRefused
         = [this](const std::string& reason, const std::string& from) { logRefusedMessage(reason, from); };
@@ -249,14 +250,14 @@
 
 void GatewayHost::mergeCrashNotices(std::span<const dispatch::CrashNotice> notices, base::TimePoint now)
 {
-    std::vector<uint32_t> before;
-    std::ranges::transform(notices, std::back_inserter(before),
-        [&](const auto& it) { return m_state.suspects.crashes(it.fingerprint, now); });
+    std::map<uint64_t, uint32_t> before;
+    for (const auto& notice : notices)
+        before[notice.fingerprint] = m_state.suspects.losses(notice.fingerprint, now);
     m_state.suspects.merge(notices, now);
-    for (size_t n = 0; n < notices.size(); ++n) {
-        auto losses = m_state.suspects.crashes(notices[n].fingerprint, now);
-        if (losses != before[n])
-            logSuspect(m_log, { "peer", notices[n].fingerprint, losses, {}, {} }, now);
+    for (const auto& [fingerprint, count] : before) {
+        auto losses = m_state.suspects.losses(fingerprint, now);
+        if (losses != count)
+            logSuspect(m_log, { "peer", fingerprint, losses, {}, {} }, now);
     }
 }
 
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -218,6 +218,8 @@
     pullIfBehind(now);
     dropUnusedEncoding(now);
     m_state.gate.holds.expire(now);
+    if (m_state.suspects.takeNewRefusal())
+        sendHeartbeatNow();
     updateStage();
     if (++m_ticks % ticksPerCheck == 0) {
         reloadChangedFiles();
--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -255,21 +255,21 @@
             return;
         }
     }
-    close(isEnd ? "closed by the peer" : ec.message());
+    close(isEnd ? "closed by the peer" : ec.message(), isEnd || ec == asio::error::connection_reset);
 }
 
-void HttpConnection::close(std::string_view reason)
+void HttpConnection::close(std::string_view reason, bool isEndedByPeer)
 {
     auto self = shared_from_this();
     error_code ec;
     m_socket.close(ec);
     if (m_done)
-        return fail(CallEnd::Lost, reason);
+        return fail(CallEnd::Lost, reason, isEndedByPeer);
     if (m_isConnected && m_onIdleEnd)
         m_onIdleEnd();
 }
 
-void HttpConnection::fail(CallEnd end, std::string_view reason)
+void HttpConnection::fail(CallEnd end, std::string_view reason, bool isEndedByPeer)
 {
     error_code ec;
     m_socket.close(ec);
@@ -277,6 +277,7 @@
     result.end = end;
     result.reason = reason;
     result.hadAnswerBytes = m_parser->got_some();
+    result.isEndedByPeer = isEndedByPeer;
     finish(std::move(result));
 }
 
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -31,6 +31,8 @@
     HttpResponse answer; /**< Set if end is Answered. */
     std::string reason; /**< Why there is no answer; set for any other end. */
     bool hadAnswerBytes { false }; /**< At least a part of an answer was received. */
+    /** The peer has ended the connection; false if this host has closed it, or the network does not reach the peer. */
+    bool isEndedByPeer { false };
 };
 
 /** \class HttpConnection
@@ -65,7 +67,7 @@
     void send(std::string request, std::string idName, std::string id, bool isHead, Done done);
 
     /** Closes the connection. A request in flight ends as Lost. */
-    void close(std::string_view reason);
+    void close(std::string_view reason) { close(reason, false); }
 
     /** Closes an idle connection if its peer has ended it or has sent data that nobody asked for, also if the event
      * loop has not reported this yet; returns whether the connection is still idle. */
@@ -102,7 +104,8 @@
     /** Handles the end of the input, which completes an answer without a length. */
     void inputEnded(const boost::system::error_code&);
     void finish(CallResult);
-    void fail(CallEnd, std::string_view reason);
+    void fail(CallEnd, std::string_view reason, bool isEndedByPeer = false);
+    void close(std::string_view reason, bool isEndedByPeer);
     void written();
 
     boost::asio::ip::tcp::socket m_socket;
--- a/Source/papayabend/gateway/SuspectLog.h
+++ b/Source/papayabend/gateway/SuspectLog.h
@@ -12,7 +12,7 @@
  * \brief Change of what this host knows of the upstreams that ended while they ran a request.
  */
 struct SuspectChange {
-    std::string_view source; /**< `attempt`, `answer` or `peer`. */
+    std::string_view source; /**< `attempt`, `probe`, `answer` or `peer`. */
     uint64_t fingerprint { 0 }; /**< Of the request, see dispatch::CrashSuspects::fingerprintOf(). */
     uint32_t losses { 0 }; /**< Upstreams that count against the request now. */
     std::string_view requestId; /**< Empty if the source is `peer`. */
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -93,7 +93,7 @@
         connect(target);
 }
 
-void UpstreamPool::connect(Upstream& upstream)
+void UpstreamPool::connect(Upstream& upstream, std::function<void()> accepted)
 {
     auto endpoint = tcpEndpoint(upstream.address);
     if (!endpoint)
@@ -108,26 +108,31 @@
         if (!ec && late && !late->isOpen())
             late->close("connect timeout");
     });
-    connection->open(*endpoint, [this, id = upstream.id, connection, timer](const std::string& problem) {
+    connection->open(*endpoint, [this, id = upstream.id, connection, timer, accepted](const std::string& problem) {
         timer->cancel();
         const auto* target = find(id);
         auto mayBeReset
             = target && (!target->isReserved || target->load.acceptedConnections < target->load.maxConnections);
         if (problem.empty() && mayBeReset)
-            return awaitReset(id, connection);
+            return awaitReset(id, connection, accepted);
+        if (problem.empty() && accepted)
+            accepted();
         connectEnded(id, connection, problem);
     });
 }
 
-void UpstreamPool::awaitReset(const std::string& id, const std::shared_ptr<HttpConnection>& connection)
+void UpstreamPool::awaitReset(
+    const std::string& id, const std::shared_ptr<HttpConnection>& connection, std::function<void()> accepted)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, resetWaitTime);
-    timer->async_wait([this, id, connection, timer](const boost::system::error_code&) {
+    timer->async_wait([this, id, connection, timer, accepted](const boost::system::error_code&) {
         auto* target = find(id);
         // After a stall the reset may have arrived without having been read.
         auto isOpen = connection->confirmIdle();
         if (target && !isOpen)
             recordRefusedConnection(*target, *connection);
+        if (isOpen && accepted)
+            accepted();
         connectEnded(id, connection, isOpen ? "" : "reset by the upstream, which is probably at its connection limit");
     });
 }
@@ -159,6 +164,13 @@
     serveQueue(*target);
 }
 
+void UpstreamPool::probe(std::string_view id, std::function<void()> alive)
+{
+    auto* target = find(id);
+    if (target && mayConnect(*target))
+        connect(*target, std::move(alive));
+}
+
 bool UpstreamPool::mayConnect(const Upstream& upstream)
 {
     // Few connections without an answer at a time, because an upstream at its connection limit resets new ones.
--- a/Tests/fleet/HeartbeatCodecTest.cpp
+++ b/Tests/fleet/HeartbeatCodecTest.cpp
@@ -1,10 +1,13 @@
 #include "papayabend/fleet/HeartbeatCodec.h"
 #include "fleet/FleetFixture.h"
+#include "papayabend/base/CborDepth.h"
 
 #include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
 
 using namespace papayabend;
 using namespace papayabend::fleet;
+using namespace std::chrono_literals;
 
 TEST_GROUP(HeartbeatCodec)
 {
@@ -27,8 +30,9 @@
     heartbeat.capacity = 250;
     heartbeat.load = 1700;
     heartbeat.demand = 800;
-    auto message = decode(encodeHeartbeats({ { heartbeat }, { { 99, 2 } }, std::string("\0x", 2),
-        { { 77, 22.5, base::Duration(1500) }, { 78, std::nullopt, base::Duration(0) } } }));
+    auto message = decode(
+        encodeHeartbeats({ { heartbeat }, { { 99, 5, 6, dispatch::LossState::ServiceOnly, 70ms }, { 99, 8, 9 } },
+            std::string("\0x", 2), { { 77, 22.5, base::Duration(1500) }, { 78, std::nullopt, base::Duration(0) } } }));
     CHECK_TRUE(message.has_value());
     const auto& read = message->heartbeats.front();
     STRCMP_EQUAL("b", read.name.c_str());
@@ -47,7 +51,13 @@
     DOUBLES_EQUAL(22.5, *message->limits[0].perSecond, 0);
     LONGS_EQUAL(1500, message->limits[0].age.count());
     CHECK_FALSE(message->limits[1].perSecond.has_value());
-    LONGS_EQUAL(99, message->crashes.front().fingerprint);
+    LONGS_EQUAL(2, message->crashes.size());
+    const auto& crash = message->crashes.front();
+    LONGS_EQUAL(99, crash.fingerprint);
+    LONGS_EQUAL(5, crash.upstream);
+    LONGS_EQUAL(6, crash.service);
+    CHECK_TRUE(crash.state == dispatch::LossState::ServiceOnly && crash.age == 70ms);
+    CHECK_TRUE(message->crashes.back().state == dispatch::LossState::Counted);
     LONGS_EQUAL(2, message->changes.size());
 }
 
@@ -63,6 +73,20 @@
         CHECK_FALSE(decode(bytes.substr(0, n)).has_value());
 }
 
+// Guards against hosts of previous versions that refuse the heartbeats of newer ones: they expect a number of lost
+// upstreams for each request and messages of three levels.
+TEST(HeartbeatCodec, PreviousVersionsReadTheNumberOfLostUpstreams)
+{
+    std::vector<dispatch::CrashNotice> crashes { { 99, 1, 1 }, { 99, 2, 1 }, { 98, 1, 1 },
+        { 99, 3, 1, dispatch::LossState::Void } };
+    auto bytes = encodeHeartbeats({ { hostHeartbeat("b", "d1") }, crashes, {}, {} });
+    CHECK_TRUE(base::isCborOfDepth({ reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size() }, 3));
+    auto counts = nlohmann::json::from_cbor(bytes).at(1);
+    LONGS_EQUAL(1, counts.size());
+    LONGS_EQUAL(99, counts.at(0).at(0).get<uint64_t>());
+    LONGS_EQUAL(2, counts.at(0).at(1).get<uint32_t>());
+}
+
 // Guards against a process that exits because of a deeply nested datagram.
 TEST(HeartbeatCodec, DeeplyNestedMessagesAreRefused)
 {
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -59,6 +59,8 @@
 TEST_GROUP(Exchange)
 {
     boost::asio::io_context io;
+    // The context would stop for good once the last upstream has ended.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { io.get_executor() };
     PlatformAdapter adapter { testAdapter() };
     EventLog log { {}, "host", STDERR_FILENO };
     GatewayMetrics metrics;
@@ -194,6 +196,24 @@
         return *flag;
     }
 
+    void checkThatEndsCount(Behaviour behaviour)
+    {
+        addRoute("/look/", true).maxAttempts = 1;
+        for (int n = 0; n < 3; ++n) {
+            addUpstream("desk", behaviour);
+            publish();
+            begin("/look/1");
+            CHECK_EQUAL(502U, runToAnswer());
+        }
+        auto& last = addUpstream("desk", Behaviour::Answer);
+        publish();
+        begin("/look/1");
+        CHECK_EQUAL(503U, runToAnswer());
+        LONGS_EQUAL(0, last.requests.size());
+        begin("/look/other");
+        CHECK_EQUAL(200U, runToAnswer());
+    }
+
     void waitForArrival()
     {
         while (arrivals() == 0)
@@ -586,3 +606,56 @@
     CHECK_EQUAL(503U, runToAnswer());
     LONGS_EQUAL(1, pausing.requests.size());
 }
+
+// Guards against a request that ends upstreams one after the other.
+TEST(Exchange, RequestThatResetsAllConnectionsOfItsUpstreamsIsRefused) { checkThatEndsCount(Behaviour::End); }
+
+// Guards against a request that ends upstreams one after the other because ends in the middle of an answer do not
+// count.
+TEST(Exchange, RequestThatEndsUpstreamsInTheirAnswerIsRefused) { checkThatEndsCount(Behaviour::EndInAnswer); }
+
+// Guards against an upstream that does not count because the client had its answer, or had left, before it ended.
+TEST(Exchange, UpstreamThatEndsAfterTheAnswerCounts)
+{
+    auto& upstream = addUpstream("desk", Behaviour::End);
+    upstream.delay = 200ms;
+    addRoute("/order/", false).timeout = 100ms;
+    publish();
+    begin("/order/1");
+    CHECK_EQUAL(504U, runToAnswer());
+    io.run_for(300ms);
+    auto fingerprint = dispatch::CrashSuspects::fingerprintOf("GET", "shop", "/order/1", "");
+    LONGS_EQUAL(1, state->suspects.losses(fingerprint, base::BootClock::now()));
+}
+
+// Guards against refusing a request because upstreams that go on running have reset its connections.
+TEST(Exchange, ResetByAnUpstreamThatStillRunsDoesNotCount)
+{
+    for (int n = 0; n < 3; ++n)
+        addUpstream("desk", Behaviour::ResetAfterRequest);
+    addRoute("/look/", true).maxAttempts = 1;
+    publish();
+    for (int n = 0; n < 3; ++n) {
+        begin("/look/1");
+        CHECK_EQUAL(502U, runToAnswer());
+        io.run_for(100ms);
+    }
+    for (const auto& it : upstreams)
+        it->behaviour = Behaviour::Answer;
+    begin("/look/1");
+    CHECK_EQUAL(200U, runToAnswer());
+}
+
+// Guards against counting an upstream whose connection this host itself has closed.
+TEST(Exchange, CancelledAttemptDoesNotCount)
+{
+    addUpstream("desk", Behaviour::Silent);
+    addRoute("/look/", true);
+    publish();
+    begin("/look/1");
+    waitForArrival();
+    client->onClientLeft();
+    io.run_for(50ms);
+    auto fingerprint = dispatch::CrashSuspects::fingerprintOf("GET", "shop", "/look/1", "");
+    LONGS_EQUAL(0, state->suspects.losses(fingerprint, base::BootClock::now()));
+}
--- a/Tests/gateway/ScriptedUpstream.h
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -11,6 +11,9 @@
         Answer,
         Silent, /**< Reads requests and never answers. */
         ResetAfterRequest,
+        End, /**< Ends with the first request that it receives: all connections are reset, and no further one is
+                accepted. */
+        EndInAnswer, /**< The same, after a part of an answer. */
         ResetAfterAccept, /**< Resets a connection a few milliseconds after it was accepted. */
         ResetOnAccept, /**< Resets a connection without reading, as an upstream at its limit. */
         Refuse, /**< Answers that it has not run the request. */
@@ -76,6 +79,13 @@
             socket->set_option(boost::asio::socket_base::linger(true, 0), ec);
             socket->close(ec);
             return;
+        case Behaviour::EndInAnswer:
+            boost::asio::write(
+                *socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nw")), ec);
+            [[fallthrough]];
+        case Behaviour::End:
+            end();
+            return;
         case Behaviour::Answer:
             boost::asio::write(*socket,
                 boost::asio::buffer("HTTP/1.1 200 OK\r\nX-Proof: " + signature + "\r\n" + fields
@@ -92,6 +102,14 @@
         serve(socket);
     }
 
+    void end()
+    {
+        boost::system::error_code ec;
+        acceptor.close(ec);
+        for (const auto& it : servedSockets)
+            it->close(ec);
+    }
+
     boost::asio::io_context& io;
     boost::asio::ip::tcp::acceptor acceptor;
     std::string address;
