--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -93,7 +93,7 @@
         connect(target);
 }
 
-void UpstreamPool::connect(Upstream& upstream, std::function<void()> accepted)
+void UpstreamPool::connect(Upstream& upstream, const std::function<void()>& accepted)
 {
     auto endpoint = tcpEndpoint(upstream.address);
     if (!endpoint)
@@ -122,7 +122,7 @@
 }
 
 void UpstreamPool::awaitReset(
-    const std::string& id, const std::shared_ptr<HttpConnection>& connection, std::function<void()> accepted)
+    const std::string& id, const std::shared_ptr<HttpConnection>& connection, const std::function<void()>& accepted)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, resetWaitTime);
     timer->async_wait([this, id, connection, timer, accepted](const boost::system::error_code&) {
@@ -164,11 +164,11 @@
     serveQueue(*target);
 }
 
-void UpstreamPool::probe(std::string_view id, std::function<void()> alive)
+void UpstreamPool::probe(std::string_view id, const std::function<void()>& alive)
 {
     auto* target = find(id);
     if (target && mayConnect(*target))
-        connect(*target, std::move(alive));
+        connect(*target, alive);
 }
 
 bool UpstreamPool::mayConnect(const Upstream& upstream)
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -50,7 +50,7 @@
 
     /** Opens a connection to find out whether the upstream still runs; \a alive is called if it accepts one. Does
      * nothing if no connection may be opened now. */
-    void probe(std::string_view id, std::function<void()> alive);
+    void probe(std::string_view id, const std::function<void()>& alive);
 
     /** Ends an attempt: an unsent one is removed from the queue, the connection of a sent one is closed. */
     void cancel(const std::shared_ptr<Attempt>&, std::string_view reason);
@@ -85,10 +85,11 @@
     /** Sets the address; closes the connections if it has changed. */
     void updateAddress(Upstream&, const discovery::UpstreamRecord&);
     /** \a accepted: called once the upstream has accepted the connection; may be empty. */
-    void connect(Upstream&, std::function<void()> accepted = {});
+    void connect(Upstream&, const std::function<void()>& accepted = {});
     void connectEnded(const std::string& id, const std::shared_ptr<HttpConnection>&, const std::string& problem);
     /** Waits for the time in which an upstream at its connection limit resets a new connection. */
-    void awaitReset(const std::string& id, const std::shared_ptr<HttpConnection>&, std::function<void()> accepted);
+    void awaitReset(
+        const std::string& id, const std::shared_ptr<HttpConnection>&, const std::function<void()>& accepted);
     /** Sends queued attempts on idle connections and opens a connection for those that remain. */
     void serveQueue(Upstream&);
     /** Returns the most recently used idle connection, if any. \a fresh: only one that was used within freshTime. */
