routing: Count an upstream again that a request ends after its restart

What callers would see: a request that ends the only upstream of a pool each time it is back was never quarantined by papayabendd. Cause: a lost upstream is known by its name, and a name counted once for ten minutes. The twin of dispatch/CrashSuspects, which knows processes; the catalogue has no start times. Class: identity of a process taken from its name.

Change: a loss of the same name that this host sees 3 s or more after the last one counts again. Notices of other hosts, which are repeated, still count once.

--- a/Source/papayabend/routing/Quarantine.cpp
+++ b/Source/papayabend/routing/Quarantine.cpp
@@ -24,9 +24,11 @@
         return std::max(suspect.reportedCrashes, static_cast<uint32_t>(suspect.crashes.size()));
     }
 
-    bool addCrash(std::vector<Crash>& crashes, const Crash& crash)
+    /** \a since: losses of the same upstream before this time are earlier ones. */
+    bool addCrash(std::vector<Crash>& crashes, const Crash& crash, base::TimePoint since)
     {
-        if (std::ranges::find(crashes, crash.upstream, &Crash::upstream) != crashes.end())
+        auto isSame = [&](const Crash& it) { return it.upstream == crash.upstream && it.at >= since; };
+        if (std::ranges::any_of(crashes, isSame))
             return false;
         crashes.push_back(crash);
         return true;
@@ -101,7 +103,7 @@
     std::scoped_lock lock(m_mutex);
     removeExpired(now);
     auto& suspect = m_suspects[fingerprint];
-    if (addCrash(suspect.crashes, crash))
+    if (addCrash(suspect.crashes, { crash.upstream, crash.shard, now }, now - sameLossTime))
         suspect.lastCrash = now;
     m_lastCrash = now;
     auto isQuarantined = crashCount(suspect) >= m_settings.crashes + (hasSucceeded ? 1 : 0);
@@ -118,7 +120,7 @@
     auto& suspect = m_suspects[notice.fingerprint];
     auto before = crashCount(suspect);
     if (notice.lostUpstream != 0)
-        addCrash(suspect.crashes, { notice.lostUpstream, notice.shard });
+        addCrash(suspect.crashes, { notice.lostUpstream, notice.shard, now }, {}); // notices are repeated
     else
         suspect.reportedCrashes = std::max(suspect.reportedCrashes, notice.crashes);
     auto isNewer = crashCount(suspect) > before;
--- a/Source/papayabend/routing/Quarantine.h
+++ b/Source/papayabend/routing/Quarantine.h
@@ -23,6 +23,7 @@
 struct Crash {
     uint64_t upstream { 0 }; /**< Hash of the upstream's name. */
     uint64_t shard { 0 }; /**< Hash of the shard's name; 0 for a pool. */
+    base::TimePoint at {}; /**< When this host has lost it or heard of it; set by Quarantine. */
 };
 
 /** \class Quarantine
@@ -35,6 +36,9 @@
  */
 class Quarantine {
 public:
+    /** Time within which the hosts notice the same end of an upstream, and start it again at the earliest. */
+    static constexpr base::Duration sameLossTime { std::chrono::seconds(3) };
+
     void configure(const CrashSettings&);
 
     bool isQuarantined(uint64_t fingerprint, base::TimePoint now) const;
@@ -48,7 +52,8 @@
     /** Records an answer from \a shard, whose crashes then no longer count unless the request is quarantined. */
     void succeeded(uint64_t fingerprint, uint64_t snapshot, uint64_t shard, base::TimePoint now);
 
-    /** Records a lost upstream and returns the notice for all other hosts of the serving set. */
+    /** Records a lost upstream and returns the notice for all other hosts of the serving set. An upstream that is lost
+     * again after sameLossTime has been started again meanwhile, and counts again. */
     QuarantineNotice crashed(uint64_t fingerprint, const Crash&, bool hasSucceeded, base::TimePoint now);
 
     /** Applies another host's notice. Returns whether it contained newer information. */
--- a/Tests/routing/QuarantineTest.cpp
+++ b/Tests/routing/QuarantineTest.cpp
@@ -38,6 +38,25 @@
     CHECK_FALSE(host.isQuarantined(1, now));
 }
 
+// Guards against a request that crashes the same upstream each time it has been started again, on the same host or
+// another.
+TEST(Quarantine, UpstreamThatWasStartedAgainCountsAgain)
+{
+    auto first = host.crashed(1, { 10, 100 }, false, now);
+    other.received(first, now);
+    CHECK(host.crashed(1, { 10, 100 }, false, now + 4s).isQuarantined);
+    CHECK(other.crashed(1, { 10, 100 }, false, now + 4s).isQuarantined);
+}
+
+// Guards against counting the repeats of a notice as further crashes of the same upstream.
+TEST(Quarantine, RepeatedNoticeCountsOnce)
+{
+    auto notice = host.crashed(1, { 10, 100 }, false, now);
+    for (auto delay : { 0s, 1s, 2s, 60s })
+        other.received(notice, now + delay);
+    LONGS_EQUAL(1, other.crashes(1, now + 60s));
+}
+
 // Guards against quarantining a request that was in flight on a crashed upstream but did not cause the crash.
 TEST(Quarantine, RequestThatRunsOnAnotherReplicaIsCleared)
 {
