--- a/Tests/engine/QuarantineExchangeTest.cpp
+++ b/Tests/engine/QuarantineExchangeTest.cpp
@@ -67,6 +67,43 @@
     LONGS_EQUAL(0, exchange.tick(now + 1h).size());
 }
 
+// Guards against a host that starts, or comes back from a partition, after the repeats of a notice and never learns of
+// it.
+TEST(QuarantineExchange, HostThatStartsLaterIsTold)
+{
+    publish(2, 25);
+    exchange.tick(now);
+    shared.quarantineNotices.push({ "faturas",
+        { .fingerprint = 7, .crashes = 2, .isQuarantined = true, .validityUs = 60'000'000, .lostUpstream = 3 } });
+    exchange.sendPending(now);
+    exchange.tick(now + 1s);
+    exchange.tick(now + 2s);
+    publish(3, 25);
+    CHECK((receivers(exchange.tick(now + 20s)) == std::multiset<std::string> { "peer-h2" }));
+    CHECK(exchange.tick(now + 21s).empty());
+    publish(2, 25);
+    exchange.tick(now + 22s);
+    publish(3, 25);
+    auto actions = exchange.tick(now + 30s);
+    CHECK((receivers(actions) == std::multiset<std::string> { "peer-h2" }));
+    const auto& told = std::get<engine::SendPeerMessage>(actions.front()).message.quarantine.at(0);
+    CHECK(told.isQuarantined && told.validityUs <= 30'000'000);
+    publish(4, 25);
+    CHECK(exchange.tick(now + 61s).empty());
+}
+
+// Guards against a quarantine that is forgotten when the host that has found it fails.
+TEST(QuarantineExchange, ReceivedNoticeIsPassedOnToHostsThatStartLater)
+{
+    publish(2, 25);
+    exchange.tick(now);
+    exchange.applyReceived(
+        { { .fingerprint = 7, .crashes = 2, .isQuarantined = true, .validityUs = 60'000'000, .lostUpstream = 3 } },
+        now);
+    publish(3, 25);
+    CHECK((receivers(exchange.tick(now + 20s)) == std::multiset<std::string> { "peer-h2" }));
+}
+
 // Guards against sending notices to all hosts of a large fleet, at a cost that grows with the fleet.
 TEST(QuarantineExchange, NoticeIsSentOnlyWithinServingSet)
 {
