dispatch: Bound what refused requests add to heartbeats

Cause: a refused request was in each heartbeat for as long as it was refused: 101 bytes with three losses (measured with the codec), 12.4 KB/s a host for one request with 123 heartbeats a second at the design size, beside the 18 KB/s of the heartbeats themselves; 24 KB/s are allowed. And a popular request that upstreams answer was refused after as few losses as one that they never answered; routing/Quarantine asks for one more, which is right.

Change: each change is told for 5 s, and after that one message in eight holds refusals, 1.6 KB/s; a host that has just started gets them with the first message. A request of which a loss was voided needs one more.

--- a/Source/papayabend/dispatch/CrashSuspects.cpp
+++ b/Source/papayabend/dispatch/CrashSuspects.cpp
@@ -36,9 +36,15 @@
     return static_cast<uint32_t>(std::max(total, mostOfOneService));
 }
 
+bool CrashSuspects::isOverLimit(const Suspect& suspect)
+{
+    auto hasVoidLoss = !std::ranges::all_of(suspect.losses, isCounted);
+    return suspect.count >= maxLosses + (hasVoidLoss ? 1 : 0);
+}
+
 bool CrashSuspects::isExpired(const Suspect& suspect, base::TimePoint now)
 {
-    return now - suspect.newestLossAt > (suspect.count >= maxLosses ? refusedLifetime : refusalTime);
+    return now - suspect.newestLossAt > (isOverLimit(suspect) ? refusedLifetime : refusalTime);
 }
 
 const CrashSuspects::Suspect* CrashSuspects::find(uint64_t fingerprint, base::TimePoint now) const
@@ -91,7 +97,7 @@
 {
     auto before = std::exchange(suspect.count, countLosses(suspect.losses));
     suspect.changedAt = now;
-    m_hasNewRefusal = m_hasNewRefusal || (before < maxLosses && suspect.count >= maxLosses);
+    m_hasNewRefusal = m_hasNewRefusal || (suspect.count > before && isOverLimit(suspect));
 }
 
 void CrashSuspects::addLoss(uint64_t fingerprint, uint64_t upstream, std::string_view service, base::TimePoint now)
@@ -148,12 +154,12 @@
 base::Duration CrashSuspects::refusedFor(uint64_t fingerprint, base::TimePoint now) const
 {
     const auto* suspect = find(fingerprint, now);
-    if (!suspect || suspect->count < maxLosses)
+    if (!suspect || !isOverLimit(*suspect))
         return base::Duration(0);
     return std::max(suspect->newestLossAt + refusalTime - now, base::Duration(0));
 }
 
-std::vector<CrashNotice> CrashSuspects::notices(base::Random& random, base::TimePoint now) const
+std::vector<CrashNotice> CrashSuspects::notices(base::Random& random, base::TimePoint now, bool toNewHost) const
 {
     using Entry = const Suspects::value_type*;
     std::vector<Entry> fresh;
@@ -163,15 +169,17 @@
             continue;
         if (now - it.second.changedAt <= freshTime)
             fresh.push_back(&it);
-        else if (it.second.count >= maxLosses)
+        else if (isOverLimit(it.second))
             old.push_back(&it);
     }
     auto n = std::min(fresh.size(), maxNoticedRequests);
     std::ranges::partial_sort(fresh, fresh.begin() + static_cast<std::ptrdiff_t>(n), std::greater(),
         [](Entry it) { return std::pair(it->second.count, it->second.changedAt); });
     fresh.resize(n);
-    std::ranges::sample(old, std::back_inserter(fresh),
-        static_cast<std::ptrdiff_t>(std::min(maxOldRequests, maxNoticedRequests - n)), random);
+    if (toNewHost || base::uniformIndex(random, messagesPerOldNotice) == 0) {
+        auto room = std::min(maxOldRequests, maxNoticedRequests - n);
+        std::ranges::sample(old, std::back_inserter(fresh), static_cast<std::ptrdiff_t>(room), random);
+    }
     std::vector<CrashNotice> notices;
     for (const auto* it : fresh) {
         for (const auto& loss : it->second.losses)
--- a/Source/papayabend/dispatch/CrashSuspects.h
+++ b/Source/papayabend/dispatch/CrashSuspects.h
@@ -46,9 +46,9 @@
  *
  * Hosts exchange which upstream processes were lost under a request, and each counts the union: callers repeat a
  * request at any host, so that no single one sees enough. The request is refused once maxLosses upstreams count against
- * it, either of one service or of all together. An answer shows that the request does not end upstreams of that service
- * (LossState). After refusalTime it is admitted again, and one more loss refuses it anew. Not safe for use by several
- * threads.
+ * it, either of one service or of all together; one more if an earlier loss was voided. An answer shows that the
+ * request does not end upstreams of that service (LossState). After refusalTime it is admitted again, and one more loss
+ * refuses it anew. Not safe for use by several threads.
  */
 class CrashSuspects {
 public:
@@ -63,10 +63,12 @@
     static constexpr size_t maxKeptLosses = 8;
     /** Most requests in a message to another host, which bounds its size. */
     static constexpr size_t maxNoticedRequests = 8;
-    /** Time after a change for which it is in each message. Later only maxOldRequests refused ones are, for hosts that
-     * have started or were cut off meanwhile. */
-    static constexpr base::Duration freshTime { std::chrono::seconds(10) };
+    /** Time after a change for which it is in each message; several times what the spread over a large fleet takes.
+     * Later one message in messagesPerOldNotice has maxOldRequests refused ones, for hosts that were cut off meanwhile.
+     */
+    static constexpr base::Duration freshTime { std::chrono::seconds(5) };
     static constexpr size_t maxOldRequests = 2;
+    static constexpr size_t messagesPerOldNotice = 8;
 
     /** Returns a hash of the request: method, virtual host, target and body. It does not contain the service, as a new
      * configuration may lead the request to another one. */
@@ -91,8 +93,9 @@
     /** Returns the time until the request is admitted again; 0 if it is now. */
     base::Duration refusedFor(uint64_t fingerprint, base::TimePoint now) const;
 
-    /** Returns what to send to other hosts: changes first, those of requests with most losses before others. */
-    std::vector<CrashNotice> notices(base::Random&, base::TimePoint now) const;
+    /** Returns what to send to other hosts: changes first, those of requests with most losses before others. \a
+     * toNewHost: the message goes to a host that has just started, and always has older refusals too. */
+    std::vector<CrashNotice> notices(base::Random&, base::TimePoint now, bool toNewHost = false) const;
     /** Returns whether a request has come to be refused since the last call, which other hosts should learn at once. */
     bool takeNewRefusal();
 
@@ -106,6 +109,8 @@
     using Suspects = std::unordered_map<uint64_t, Suspect>;
 
     static uint32_t countLosses(std::span<const UpstreamLoss>);
+    /** Returns whether enough losses count; one more is needed if an earlier one proved to have had another cause. */
+    static bool isOverLimit(const Suspect&);
     static bool isExpired(const Suspect&, base::TimePoint now);
     const Suspect* find(uint64_t fingerprint, base::TimePoint now) const;
     /** Returns the suspect, which is created if need be at the expense of the least relevant one. */
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -63,7 +63,9 @@
 {
     PeerEvents events;
     events.messageReceived = [this](const fleet::HeartbeatMessage& message) { handleHeartbeats(message); };
-    events.crashNotices = [this] { return m_state.suspects.notices(m_state.random, base::BootClock::now()); };
+    events.crashNotices = [this](bool toNewHost) {
+        return m_state.suspects.notices(m_state.random, base::BootClock::now(), toNewHost);
+    };
     events.limitNotices = [this] { return m_state.gate.limits.notices(m_state.random, base::BootClock::now()); };
     events.messageRefused
         = [this](const std::string& reason, const std::string& from) { logRefusedMessage(reason, from); };
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -84,9 +84,9 @@
     });
 }
 
-fleet::HeartbeatMessage PeerLink::ownMessage() const
+fleet::HeartbeatMessage PeerLink::ownMessage(bool toNewHost) const
 {
-    return { { m_fleet.self() }, m_events.crashNotices(), {}, m_events.limitNotices() };
+    return { { m_fleet.self() }, m_events.crashNotices(toNewHost), {}, m_events.limitNotices() };
 }
 
 void PeerLink::sendHeartbeats()
@@ -120,7 +120,7 @@
 void PeerLink::sendKnownHosts(const std::string& address)
 {
     ++m_fleet.self().sequence;
-    auto message = ownMessage();
+    auto message = ownMessage(true);
     for (const auto* heartbeat : m_fleet.liveHeartbeats(base::BootClock::now())) {
         if (heartbeat != &m_fleet.self() && message.heartbeats.size() < maxHeartbeatsSent)
             message.heartbeats.push_back(*heartbeat);
--- a/Source/papayabend/gateway/PeerLink.h
+++ b/Source/papayabend/gateway/PeerLink.h
@@ -35,7 +35,7 @@
 struct PeerEvents {
     std::function<void(const fleet::HeartbeatMessage&)> messageReceived;
     /** Returns the notices on requests that crash upstreams, to send with a heartbeat. */
-    std::function<std::vector<dispatch::CrashNotice>()> crashNotices;
+    std::function<std::vector<dispatch::CrashNotice>(bool toNewHost)> crashNotices;
     /** Returns what is known of the limits of upstreams, to send with a heartbeat. */
     std::function<std::vector<dispatch::LimitNotice>()> limitNotices;
     /** A pull has ended. */
@@ -80,7 +80,7 @@
 private:
     void schedule();
     void sendHeartbeats();
-    fleet::HeartbeatMessage ownMessage() const;
+    fleet::HeartbeatMessage ownMessage(bool toNewHost = false) const;
     void send(const std::string& bytes, const std::string& address);
     void receive();
     /** Ends the pull if it makes no progress, or takes too long in all. */
--- a/Tests/dispatch/CrashSuspectsTest.cpp
+++ b/Tests/dispatch/CrashSuspectsTest.cpp
@@ -15,8 +15,8 @@
 
     void exchange()
     {
-        auto notices = suspects.notices(random, now);
-        suspects.merge(other.notices(random, now), now);
+        auto notices = suspects.notices(random, now, true);
+        suspects.merge(other.notices(random, now, true), now);
         other.merge(notices, now);
     }
 };
@@ -78,6 +78,18 @@
     LONGS_EQUAL(1, suspects.losses(7, now));
 }
 
+// Guards against refusing a popular request that upstreams answer, as soon as a few of its answers were lost in a row.
+TEST(CrashSuspects, RequestThatWasAnsweredNeedsOneMoreLoss)
+{
+    suspects.addLoss(7, 1, "desk", now);
+    suspects.addAnswer(7, "desk", now);
+    for (uint64_t upstream : { 2, 3, 4 })
+        suspects.addLoss(7, upstream, "desk", now);
+    CHECK_FALSE(suspects.isRefused(7, now));
+    suspects.addLoss(7, 5, "desk", now);
+    CHECK_TRUE(suspects.isRefused(7, now));
+}
+
 // Guards against losses that an answer has removed and that the notice of another host brings back.
 TEST(CrashSuspects, RemovedLossIsRemovedOnAllHosts)
 {
@@ -143,6 +155,19 @@
     CHECK_FALSE(other.isRefused(7, now + 61s));
 }
 
+// Guards against messages that are longer for as long as any request is refused, and against a host that was cut off
+// and never learns of it.
+TEST(CrashSuspects, OldRefusalsAreInSomeMessagesOnly)
+{
+    for (uint64_t upstream : { 1, 2, 3 })
+        suspects.addLoss(7, upstream, "desk", now);
+    now += CrashSuspects::freshTime + 1ms;
+    size_t messages = 0;
+    for (int n = 0; n < 1000; ++n)
+        messages += suspects.notices(random, now).empty() ? 0 : 1;
+    CHECK_TRUE(messages > 80 && messages < 170);
+}
+
 // Guards against hosts that replace each other's losses of one request without end when there are more than they keep.
 TEST(CrashSuspects, HostsAgreeOnTheLossesThatTheyKeep)
 {
@@ -156,8 +181,8 @@
     exchange();
     now += CrashSuspects::freshTime / 2;
     // A change would be in the message beside the older refusals, of which there is one.
-    LONGS_EQUAL(CrashSuspects::maxKeptLosses, suspects.notices(random, now).size());
-    LONGS_EQUAL(CrashSuspects::maxKeptLosses, other.notices(random, now).size());
+    LONGS_EQUAL(CrashSuspects::maxKeptLosses, suspects.notices(random, now, true).size());
+    LONGS_EQUAL(CrashSuspects::maxKeptLosses, other.notices(random, now, true).size());
     CHECK_FALSE(suspects.isRefused(7, now + 121s));
 }
 
--- a/Tests/fleet/CrashingRequestTest.cpp
+++ b/Tests/fleet/CrashingRequestTest.cpp
@@ -186,7 +186,7 @@
             // Each host that hears of the new process sends it a heartbeat.
             for (const auto& [name, member] : hosts[index]->fleet.members())
                 deliver(indexOf.at(member.heartbeat.peerAddress), index,
-                    hosts[indexOf.at(member.heartbeat.peerAddress)]->suspects.notices(random, now));
+                    hosts[indexOf.at(member.heartbeat.peerAddress)]->suspects.notices(random, now, true));
         });
     }
 
--- a/Tests/gateway/PeerLinkTest.cpp
+++ b/Tests/gateway/PeerLinkTest.cpp
@@ -23,7 +23,7 @@
     void setup() override
     {
         PeerEvents events;
-        events.crashNotices = [] { return std::vector<dispatch::CrashNotice> {}; };
+        events.crashNotices = [](bool) { return std::vector<dispatch::CrashNotice> {}; };
         events.limitNotices = [] { return std::vector<dispatch::LimitNotice> {}; };
         events.pullEnded = [this](const PullResult& it) { result = it; };
         link = std::make_unique<PeerLink>(io, fleet, 1, events);
