soak: Play requests that end the upstreams that run them

Two targets of each kind of route end the process of each upstream that runs them: its connections are reset, its port is closed for 1 to 3 s, and it is back under its own id or a new one. Callers repeat them at any host, while hosts are restarted, paused and killed. Checked: not more than three runs later than 4 s (and the slack) after the third end, and not more than 5 and one in 500 proper requests refused as deadly; three popular targets come again and again.

--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -26,6 +26,10 @@
 DRAIN = 3.0
 LIMIT = 3.0
 LIMIT_WINDOW = 4.0
+# A request that ends upstreams: losses after which it is refused, time in which all hosts learn of it, repeats after that.
+LOSSES = 3
+LEARN = 4.0
+REPEATS = 3
 # Requests sent to a stopping host during its grace time.
 LATE_CALLERS = 8
 PORTS = {"callers": 7001, "readiness": 7002, "entry": 7003, "peers": 7004, "metrics": 7005}
@@ -48,6 +52,9 @@
         self.arrivals = collections.defaultdict(list)
         self.requests = collections.defaultdict(list)
         self.sent_once = {}
+        self.deadly_runs = collections.defaultdict(list)
+        self.deadly_ends = collections.defaultdict(list)
+        self.refused = collections.Counter()
         self.outcomes = collections.Counter()
         self.planned_only = options.planned
         self.log = []
@@ -88,6 +95,8 @@
             self.fail("request %s that no client sent ran on %s" % (rid, upstream.uid))
         elif kind == "once" and self.runs[rid] > 1:
             self.fail("non-idempotent request %s ran %d times" % (rid, self.runs[rid]))
+        if "/deadly" in target:
+            self.deadly_runs[target].append(self.now())
 
     # The operator.
 
@@ -144,6 +153,32 @@
         upstream.server.close()
         upstream.proxy.close()
 
+    async def crash(self, upstream, target):
+        """Ends the process of an upstream under a request; it is back after a while, in half of the cases under a new id."""
+        if upstream.is_down:
+            return
+        upstream.is_down = True
+        self.deadly_ends[target].append(self.now())
+        self.note("%s ends under %s" % (upstream.uid, target))
+        port = upstream.proxy.server.sockets[0].getsockname()[1]
+        upstream.proxy.server.close()
+        upstream.proxy.reset(1.1, self.random)
+        upstream.end()
+        await asyncio.sleep(self.random.uniform(1, 3))
+        if upstream.draining_since or upstream.uid not in self.upstreams:
+            return
+        if self.random.random() < 0.5:
+            self.store.put("servers/" + upstream.uid, None)
+            self.upstreams.pop(upstream.uid)
+            upstream.server.close()
+            await self.add_upstream(upstream.service)
+            return
+        await upstream.proxy.listen("127.0.0.1", port)
+        upstream.sequence = 0
+        upstream.born = int(time.time() * 1000)
+        upstream.is_down = False
+        self.announce(upstream, "ready")
+
     # Hosts.
 
     async def start_gateway(self, index):
@@ -244,6 +279,11 @@
         path = "/%s/%s" % (kind, rid)
         if kind == "once" and gateway["stopping"] is not None:
             path = "/once/long/" + rid
+        chance = random_.random()
+        if kind in ("all", "again") and chance < 0.02:
+            path = "/%s/deadly%d" % (kind, random_.randint(0, 1))
+        elif kind in ("all", "again") and chance < 0.2:
+            path = "/%s/popular%d" % (kind, random_.randint(0, 2))
         probe = None
         if kind == "probe":
             probe = random_.choice(self.extra_routes)
@@ -270,6 +310,7 @@
             if self.planned_only and self.runs[rid]:
                 self.fail("request %s was cut by host%d after it had run" % (rid, gateway["index"]))
             return False
+        self.count_refusal(path, int(first.split(" ")[1]), body)
         self.check(rid, kind, int(first.split(" ")[1]), headers, body, gateway, probe, sent)
         return headers.get("connection", "").lower() != "close"
 
@@ -293,6 +334,32 @@
         if not proof.startswith(rid + ".") or headers.get("x-papayabend-request-id") != rid:
             self.fail("request %s got the answer %r" % (rid, proof))
 
+    def count_refusal(self, path, status, body):
+        kind = "deadly" if "/deadly" in path else "proper"
+        self.refused[kind] += 1
+        if status == 503 and b"quarantined" in body:
+            self.refused[kind + " refused"] += 1
+
+    def check_deadly(self):
+        for target, ends in self.deadly_ends.items():
+            if len(ends) < LOSSES:
+                continue
+            known = sorted(ends)[LOSSES - 1] + LEARN + self.options.slack
+            late = {}
+            for t in self.deadly_runs[target]:
+                # A fan-out is sent to its shards at once and counts once.
+                if t > known and not any(abs(t - other) < 0.2 for other in late):
+                    late[t] = True
+            if len(late) > REPEATS:
+                self.fail("%s ran %d times later than %.1f s after it had ended %d upstreams; %d ended in all" % (
+                    target, len(late), LEARN + self.options.slack, LOSSES, len(ends)))
+        if self.refused["proper refused"] > 5 + self.refused["proper"] / 500:
+            self.fail("%d of %d proper requests were refused as deadly" % (
+                self.refused["proper refused"], self.refused["proper"]))
+        self.outcomes["ends"] = sum(len(ends) for ends in self.deadly_ends.values())
+        self.outcomes["deadly refused"] = self.refused["deadly refused"]
+        self.outcomes["proper refused"] = self.refused["proper refused"]
+
     def check_version(self, rid, status, gateway, probe, sent):
         version, _, changed = probe
         if status == 404:
@@ -500,6 +567,7 @@
                 await asyncio.gather(self.disturb(), *callers)
                 await asyncio.sleep(0.5)
                 self.check_budget()
+                self.check_deadly()
                 if sum(v for k, v in self.outcomes.items() if k.endswith(" 200")) == 0:
                     self.fail("nothing was served")
             finally:
--- a/Tests/soak/standins.py
+++ b/Tests/soak/standins.py
@@ -105,6 +105,7 @@
         self.arrived_at = collections.deque()
         self.limited_since = 0.0
         self.pauses_until = 0.0
+        self.is_down = False
         self.writers = set()
 
     def records(self, request_id):
@@ -133,6 +134,9 @@
                 self.world.ran(self, rid, method, target)
                 work = LONG_WORK if "/long/" in target else self.work
                 await asyncio.sleep(work * (0.5 + self.world.random.random()))
+                if "/deadly" in target:
+                    self.world.tasks.append(asyncio.ensure_future(self.world.crash(self, target)))
+                    raise ConnectionError("the process has ended")
         finally:
             self.queue -= 1
         proof = "%s.%s.%s" % (rid, self.service, self.uid)
