dispatch: Keep that a loss was removed if it is heard of before the loss

Found in reading: a removed loss that another host tells of first had no time, expired at once and did not stand against the loss itself, which a third host may send later. CrashSuspects.RemovedLossIsKnownBeforeTheLossItself; it was not run on the code before. And the line suspect is written for what other hosts say from two losses on only: each connection that is reset anywhere would have been a line on each host.

--- a/Source/papayabend/dispatch/CrashSuspects.cpp
+++ b/Source/papayabend/dispatch/CrashSuspects.cpp
@@ -78,8 +78,7 @@
         known->state = loss.state;
         return lossesChanged(suspect, now);
     }
-    if (isCounted(loss))
-        suspect.newestLossAt = std::max(suspect.newestLossAt, loss.lostAt);
+    suspect.newestLossAt = std::max(suspect.newestLossAt, loss.lostAt);
     suspect.losses.push_back(loss);
     // All hosts keep the same losses of many, so that they do not exchange the others without end.
     if (suspect.losses.size() > maxKeptLosses) {
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -258,7 +258,8 @@
     m_state.suspects.merge(notices, now);
     for (const auto& [fingerprint, count] : before) {
         auto losses = m_state.suspects.losses(fingerprint, now);
-        if (losses != count)
+        // Each host would otherwise log each connection that is reset anywhere in the fleet.
+        if (losses != count && std::max(losses, count) > 1)
             logSuspect(m_log, { "peer", fingerprint, losses, {}, {} }, now);
     }
 }
--- a/Tests/dispatch/CrashSuspectsTest.cpp
+++ b/Tests/dispatch/CrashSuspectsTest.cpp
@@ -102,6 +102,17 @@
     LONGS_EQUAL(0, other.losses(7, now));
 }
 
+// Guards against counting a loss that another host reports later than that it was removed.
+TEST(CrashSuspects, RemovedLossIsKnownBeforeTheLossItself)
+{
+    other.addLoss(7, 1, "desk", now);
+    auto early = other.notices(random, now);
+    other.addAnswer(7, "desk", now);
+    suspects.merge(other.notices(random, now), now);
+    suspects.merge(early, now);
+    LONGS_EQUAL(0, suspects.losses(7, now));
+}
+
 // Guards against refusing a request because connections were reset by upstreams that went on running.
 TEST(CrashSuspects, UpstreamThatStillRunsDoesNotCount)
 {
