dispatch: Let two tests fail without what they guard

Found in reading, by trying broken variants (trial). HostsAgreeOnTheLossesThatTheyKeep could not tell an agreed set from one that still changes, and RemovedLossIsKnownBeforeTheLossItself began too near the origin of time: without its fix it passed. With the eviction of the oldest loss, and with void losses without a time, they fail now; with the code as it is they pass.

--- a/Tests/dispatch/CrashSuspectsTest.cpp
+++ b/Tests/dispatch/CrashSuspectsTest.cpp
@@ -105,6 +105,7 @@
 // Guards against counting a loss that another host reports later than that it was removed.
 TEST(CrashSuspects, RemovedLossIsKnownBeforeTheLossItself)
 {
+    now += CrashSuspects::refusedLifetime;
     other.addLoss(7, 1, "desk", now);
     auto early = other.notices(random, now);
     other.addAnswer(7, "desk", now);
@@ -190,10 +191,13 @@
     exchange();
     now += CrashSuspects::freshTime + 1ms;
     exchange();
-    now += CrashSuspects::freshTime / 2;
-    // A change would be in the message beside the older refusals, of which there is one.
-    LONGS_EQUAL(CrashSuspects::maxKeptLosses, suspects.notices(random, now, true).size());
-    LONGS_EQUAL(CrashSuspects::maxKeptLosses, other.notices(random, now, true).size());
+    // A host that still learned of changes would tell of them in each message.
+    for (const auto* it : { &suspects, &other }) {
+        int messages = 0;
+        for (int n = 0; n < 100; ++n)
+            messages += it->notices(random, now).empty() ? 0 : 1;
+        CHECK_TRUE(messages < 50);
+    }
     CHECK_FALSE(suspects.isRefused(7, now + 121s));
 }
 
