--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -1,8 +1,5 @@
 #include "papayabend/gateway/Exchange.h"
 
-#include "papayabend/dispatch/StopAdmission.h"
-#include "papayabend/gateway/SuspectLog.h"
-
 #include <algorithm>
 #include <cmath>
 #include <ranges>
@@ -22,8 +19,6 @@
     constexpr base::Duration fullUpstreamPause { std::chrono::milliseconds(30) };
     // Shortest wait for a connection before another upstream is tried; opening one takes some milliseconds.
     constexpr base::Duration minConnectionWait { std::chrono::milliseconds(20) };
-    // Pause after which a request that may end upstreams looks again whether one has answered it.
-    constexpr base::Duration suspectPause { std::chrono::milliseconds(10) };
     // Pause before the next try for a hedge that found no retry budget or no upstream.
     constexpr base::Duration hedgeRetryPause { std::chrono::milliseconds(10) };
     // The same while upstreams name limits, which last longer.
@@ -151,49 +146,6 @@
     return isAdmitted;
 }
 
-bool Exchange::admitDuringStop(base::TimePoint endsAt, base::TimePoint now)
-{
-    auto hosts = m_state.fleet.liveHeartbeats(now);
-    auto hasOtherHost = std::ranges::any_of(
-        hosts, [this](const auto* it) { return it != &m_state.fleet.self() && it->stage == fleet::HostStage::Ready; });
-    dispatch::StopInputs inputs { now, endsAt, m_deadlineAt, m_route->latencyObjective,
-        m_route->idempotent || isFanOut(), hasOtherHost };
-    if (dispatch::mayBeginDuringStop(*m_latency, inputs))
-        return true;
-    refuse(503, "stopping",
-        "the process stops in " + std::to_string(base::toMilliseconds(endsAt - now)) + " ms, the request may need "
-            + std::to_string(base::toMilliseconds(dispatch::servingTime(*m_latency, inputs))) + " ms",
-        dispatch::retryAfterStop(inputs), base::Duration(0));
-    return false;
-}
-
-bool Exchange::admit(base::TimePoint now)
-{
-    auto grant = dispatch::findAccountGrant(m_state.table.get(), m_host, m_subrequests.front().service);
-    if (!grant) {
-        finish(plainAnswer(403, "the table grants the account no access to the service"), "no_access");
-        return false;
-    }
-    m_trafficClass
-        = { grant->account, grant->grant.weight, dispatch::rankOf(grant->grant.priority, m_route->priority) };
-    if (!grant->grant.limitPerSecond)
-        return true;
-    auto hosts = fleet::servingCount(m_state.fleet, servingOf(m_state.settings.entryAnswers), now);
-    if (auto wait = m_state.rates.take(*grant, hosts, now)) {
-        refuse(429, "over_limit", "the account has exceeded its rate limit in the table", *wait);
-        return false;
-    }
-    return true;
-}
-
-bool Exchange::isServable() const
-{
-    auto usable
-        = static_cast<uint32_t>(std::ranges::count_if(m_subrequests, [](const auto& it) { return it.usable > 0; }));
-    return dispatch::isEnough(
-        usable, static_cast<uint32_t>(m_subrequests.size()), isFanOut() ? m_route->minShardShare : 1);
-}
-
 dispatch::SubrequestPolicy Exchange::policy() const
 {
     return { m_route->idempotent || isFanOut(), m_route->maxAttempts, m_hedgeDelay };
@@ -337,42 +289,6 @@
     return false;
 }
 
-void Exchange::recordLoss(const Subrequest& subrequest, const Attempt& attempt, base::TimePoint now)
-{
-    const auto* entry = m_state.content.upstreams().find(attempt.upstream);
-    if (!entry)
-        return;
-    auto upstream = dispatch::keyOf(entry->record);
-    m_state.suspects.addLoss(m_fingerprint, upstream, subrequest.service, now);
-    auto log = [&state = m_state, fingerprint = m_fingerprint, id = m_id, name = attempt.upstream](
-                   std::string_view source, base::TimePoint at) {
-        logSuspect(state.log, { source, fingerprint, state.suspects.losses(fingerprint, at), id, name }, at);
-    };
-    log("attempt", now);
-    m_state.pool.probe(
-        attempt.upstream, [&state = m_state, fingerprint = m_fingerprint, upstream, log = std::move(log)] {
-            auto at = base::BootClock::now();
-            state.suspects.voidLoss(fingerprint, upstream, at);
-            log("probe", at);
-        });
-}
-
-void Exchange::recordRun(const Subrequest& subrequest, const Attempt& attempt, base::TimePoint now)
-{
-    if (m_state.suspects.addAnswer(m_fingerprint, subrequest.service, now))
-        logSuspect(m_state.log,
-            { "answer", m_fingerprint, m_state.suspects.losses(m_fingerprint, now), m_id, attempt.upstream }, now);
-}
-
-bool Exchange::holdSuspect(Subrequest& subrequest, base::TimePoint now)
-{
-    auto isInFlight = std::ranges::any_of(m_subrequests, [](const auto& it) { return it.history.inFlight > 0; });
-    if (!isInFlight || !m_state.suspects.isRefused(m_fingerprint, now))
-        return false;
-    subrequest.retryAt = now + suspectPause;
-    return true;
-}
-
 void Exchange::attemptEnded(Subrequest& subrequest, const Attempt& attempt, CallResult result)
 {
     --subrequest.history.inFlight;
--- a/Source/papayabend/gateway/ExchangeGate.cpp
+++ b/Source/papayabend/gateway/ExchangeGate.cpp
@@ -1,4 +1,5 @@
 #include "papayabend/dispatch/Gather.h"
+#include "papayabend/dispatch/StopAdmission.h"
 #include "papayabend/gateway/Exchange.h"
 
 #include <algorithm>
@@ -72,4 +73,47 @@
     }
 }
 
+bool Exchange::admitDuringStop(base::TimePoint endsAt, base::TimePoint now)
+{
+    auto hosts = m_state.fleet.liveHeartbeats(now);
+    auto hasOtherHost = std::ranges::any_of(
+        hosts, [this](const auto* it) { return it != &m_state.fleet.self() && it->stage == fleet::HostStage::Ready; });
+    dispatch::StopInputs inputs { now, endsAt, m_deadlineAt, m_route->latencyObjective,
+        m_route->idempotent || isFanOut(), hasOtherHost };
+    if (dispatch::mayBeginDuringStop(*m_latency, inputs))
+        return true;
+    refuse(503, "stopping",
+        "the process stops in " + std::to_string(base::toMilliseconds(endsAt - now)) + " ms, the request may need "
+            + std::to_string(base::toMilliseconds(dispatch::servingTime(*m_latency, inputs))) + " ms",
+        dispatch::retryAfterStop(inputs), base::Duration(0));
+    return false;
+}
+
+bool Exchange::admit(base::TimePoint now)
+{
+    auto grant = dispatch::findAccountGrant(m_state.table.get(), m_host, m_subrequests.front().service);
+    if (!grant) {
+        finish(plainAnswer(403, "the table grants the account no access to the service"), "no_access");
+        return false;
+    }
+    m_trafficClass
+        = { grant->account, grant->grant.weight, dispatch::rankOf(grant->grant.priority, m_route->priority) };
+    if (!grant->grant.limitPerSecond)
+        return true;
+    auto hosts = fleet::servingCount(m_state.fleet, servingOf(m_state.settings.entryAnswers), now);
+    if (auto wait = m_state.rates.take(*grant, hosts, now)) {
+        refuse(429, "over_limit", "the account has exceeded its rate limit in the table", *wait);
+        return false;
+    }
+    return true;
+}
+
+bool Exchange::isServable() const
+{
+    auto usable
+        = static_cast<uint32_t>(std::ranges::count_if(m_subrequests, [](const auto& it) { return it.usable > 0; }));
+    return dispatch::isEnough(
+        usable, static_cast<uint32_t>(m_subrequests.size()), isFanOut() ? m_route->minShardShare : 1);
+}
+
 }
