--- a/Tests/fleet/CrashingRequestTest.cpp
+++ b/Tests/fleet/CrashingRequestTest.cpp
@@ -24,7 +24,7 @@
 // In this time after the third loss a fleet may still learn of it, and this many repeats are allowed later.
 constexpr auto learningTime = 4s;
 constexpr size_t allowedRepeats = 3;
-constexpr uint64_t deadlyRequest = 1;
+constexpr uint64_t crashingRequest = 1;
 
 struct Shape {
     size_t hosts { 8 };
@@ -58,7 +58,7 @@
 
 struct Request {
     uint64_t fingerprint { 0 };
-    bool isDeadly { false };
+    bool isCrashing { false };
     size_t service { 0 };
     size_t host { 0 };
     size_t attempts { 0 }; /**< At this host. */
@@ -66,7 +66,7 @@
     std::vector<size_t> tried; /**< At this host. */
 };
 
-/** Hosts, callers and upstreams in virtual time. Callers repeat a deadly request at any host, without end. */
+/** Hosts, callers and upstreams in virtual time. Callers repeat a crashing request at any host, without end. */
 struct SimulatedFleet {
     Shape shape;
     base::Random random;
@@ -75,9 +75,9 @@
     std::vector<std::unique_ptr<Host>> hosts;
     std::map<std::string, size_t> indexOf;
     std::vector<Upstream> upstreams;
-    size_t deadlyService { 0 };
-    std::vector<base::TimePoint> deadlyArrivals;
-    std::vector<base::TimePoint> deadlyLosses;
+    size_t crashingService { 0 };
+    std::vector<base::TimePoint> crashingArrivals;
+    std::vector<base::TimePoint> crashes;
     uint64_t nextFingerprint { 1000 };
     uint64_t nextProcess { 1 };
     double lostAnswers {
@@ -199,7 +199,7 @@
         if (!isRunning(host) || now < host.frozenUntil)
             return at(100ms, [this, request] { comeToAHost(request); });
         auto isRefused = host.suspects.isRefused(request->fingerprint, now);
-        properRefusals += isRefused && !request->isDeadly ? 1 : 0;
+        properRefusals += isRefused && !request->isCrashing ? 1 : 0;
         if (!isRefused)
             send(request);
     }
@@ -218,8 +218,8 @@
         ++request->attempts;
         request->tried.push_back(n);
         upstreams[n].running.push_back(request);
-        if (request->isDeadly)
-            deadlyArrivals.push_back(now);
+        if (request->isCrashing)
+            crashingArrivals.push_back(now);
         at(runTime, [this, request, n, process = upstreams[n].process] {
             if (upstreams[n].process == process && std::erase(upstreams[n].running, request) > 0)
                 runEnds(request, n);
@@ -228,13 +228,13 @@
 
     void runEnds(const RequestPointer& request, size_t upstream)
     {
-        if (!request->isDeadly && base::uniform(random) < lostAnswers)
+        if (!request->isCrashing && base::uniform(random) < lostAnswers)
             return loseConnection(request, upstreams[upstream].process);
-        if (!request->isDeadly) {
+        if (!request->isCrashing) {
             hosts[request->host]->suspects.addAnswer(request->fingerprint, serviceOf(*request), now);
             return;
         }
-        deadlyLosses.push_back(now);
+        crashes.push_back(now);
         upstreams[upstream].running.push_back(request);
         endUpstream(upstream);
     }
@@ -286,20 +286,20 @@
 
     void comeBack(const RequestPointer& request)
     {
-        if (!request->isDeadly && request->returns-- > 0)
+        if (!request->isCrashing && request->returns-- > 0)
             at(10ms, [this, request] { comeToAHost(request); });
     }
 
     static std::string serviceOf(const Request& request) { return "service" + std::to_string(request.service); }
 
-    void callDeadly(base::Duration meanPause)
+    void callCrashing(base::Duration meanPause)
     {
-        auto request = std::make_shared<Request>(Request { .fingerprint = deadlyRequest, .isDeadly = true });
-        request->service = deadlyService;
+        auto request = std::make_shared<Request>(Request { .fingerprint = crashingRequest, .isCrashing = true });
+        request->service = crashingService;
         comeToAHost(request);
         auto pause
             = base::Duration(static_cast<int64_t>(2 * base::uniform(random) * static_cast<double>(meanPause.count())));
-        at(pause, [this, meanPause] { callDeadly(meanPause); });
+        at(pause, [this, meanPause] { callCrashing(meanPause); });
     }
 
     /** A part of the proper requests are equal to others of that time. */
@@ -320,16 +320,16 @@
     bool isRefusedByAll() const
     {
         return std::ranges::all_of(
-            hosts, [this](const auto& it) { return it->suspects.isRefused(deadlyRequest, now); });
+            hosts, [this](const auto& it) { return it->suspects.isRefused(crashingRequest, now); });
     }
 
-    /** Returns how often the deadly request reached upstreams when the fleet must have known of it. */
+    /** Returns how often the crashing request reached upstreams when the fleet must have known of it. */
     size_t lateRepeats() const
     {
-        if (deadlyLosses.size() < CrashSuspects::maxLosses)
+        if (crashes.size() < CrashSuspects::maxLosses)
             return 0;
-        auto from = deadlyLosses[CrashSuspects::maxLosses - 1] + learningTime;
-        return static_cast<size_t>(std::ranges::count_if(deadlyArrivals, [from](auto it) { return it > from; }));
+        auto from = crashes[CrashSuspects::maxLosses - 1] + learningTime;
+        return static_cast<size_t>(std::ranges::count_if(crashingArrivals, [from](auto it) { return it > from; }));
     }
 };
 
@@ -368,12 +368,12 @@
             Case { { .hosts = 1600, .domains = 13, .upstreamsPerService = 40, .maxAttempts = 1 }, 1 } }) {
         for (uint64_t seed = 1; seed <= it.seeds; ++seed) {
             SimulatedFleet fleet(it.shape, seed);
-            fleet.callDeadly(700ms);
-            while (fleet.deadlyLosses.size() < CrashSuspects::maxLosses)
+            fleet.callCrashing(700ms);
+            while (fleet.crashes.size() < CrashSuspects::maxLosses)
                 fleet.run(100ms);
             fleet.run(learningTime);
             CHECK_TRUE(fleet.isRefusedByAll());
-            CHECK_TRUE(fleet.deadlyLosses.size() <= CrashSuspects::maxLosses + allowedRepeats);
+            CHECK_TRUE(fleet.crashes.size() <= CrashSuspects::maxLosses + allowedRepeats);
         }
     }
 }
@@ -383,7 +383,7 @@
 {
     for (uint64_t seed = 1; seed <= 50; ++seed) {
         SimulatedFleet fleet({ .maxAttempts = 1 }, seed);
-        fleet.callDeadly(300ms);
+        fleet.callCrashing(300ms);
         for (size_t n = 0; n < 30; ++n) {
             auto& host = *fleet.hosts[base::uniformIndex(fleet.random, fleet.hosts.size())];
             auto index = fleet.indexOf.at("peers." + host.name);
@@ -408,15 +408,15 @@
 {
     for (uint64_t seed = 1; seed <= 20; ++seed) {
         SimulatedFleet fleet({ .services = 2, .maxAttempts = 1 }, seed);
-        fleet.callDeadly(700ms);
+        fleet.callCrashing(700ms);
         fleet.run(1200ms);
-        fleet.deadlyService = 1;
+        fleet.crashingService = 1;
         fleet.run(30s);
         CHECK_TRUE(fleet.lateRepeats() <= allowedRepeats);
     }
 }
 
-// Guards against refusing proper requests that were in flight at upstreams which a deadly one ended, or whose
+// Guards against refusing proper requests that were in flight at upstreams which a crashing one ended, or whose
 // connections were reset, or that were lost together.
 TEST(CrashingRequest, ProperRequestsNearAnEndAreServed)
 {
@@ -426,7 +426,7 @@
         SimulatedFleet fleet({ .services = 2, .upstreamsPerService = 4 }, seed);
         fleet.lostAnswers = 0.2;
         fleet.callProper(100);
-        fleet.callDeadly(700ms);
+        fleet.callCrashing(700ms);
         for (size_t n = 0; n < 20; ++n) {
             fleet.run(1s);
             fleet.resetConnections(base::uniformIndex(fleet.random, fleet.hosts.size()));
--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -52,8 +52,8 @@
         self.arrivals = collections.defaultdict(list)
         self.requests = collections.defaultdict(list)
         self.sent_once = {}
-        self.deadly_runs = collections.defaultdict(list)
-        self.deadly_ends = collections.defaultdict(list)
+        self.crashing_runs = collections.defaultdict(list)
+        self.crashing_ends = collections.defaultdict(list)
         self.refused = collections.Counter()
         self.outcomes = collections.Counter()
         self.planned_only = options.planned
@@ -95,8 +95,8 @@
             self.fail("request %s that no client sent ran on %s" % (rid, upstream.uid))
         elif kind == "once" and self.runs[rid] > 1:
             self.fail("non-idempotent request %s ran %d times" % (rid, self.runs[rid]))
-        if "/deadly" in target:
-            self.deadly_runs[target].append(self.now())
+        if "/crashing" in target:
+            self.crashing_runs[target].append(self.now())
 
     # The operator.
 
@@ -158,7 +158,7 @@
         if upstream.is_down:
             return
         upstream.is_down = True
-        self.deadly_ends[target].append(self.now())
+        self.crashing_ends[target].append(self.now())
         self.note("%s ends under %s" % (upstream.uid, target))
         port = upstream.proxy.server.sockets[0].getsockname()[1]
         upstream.proxy.server.close()
@@ -281,7 +281,7 @@
             path = "/once/long/" + rid
         chance = random_.random()
         if kind in ("all", "again") and chance < 0.02:
-            path = "/%s/deadly%d" % (kind, random_.randint(0, 1))
+            path = "/%s/crashing%d" % (kind, random_.randint(0, 1))
         elif kind in ("all", "again") and chance < 0.2:
             path = "/%s/popular%d" % (kind, random_.randint(0, 2))
         probe = None
@@ -335,18 +335,18 @@
             self.fail("request %s got the answer %r" % (rid, proof))
 
     def count_refusal(self, path, status, body):
-        kind = "deadly" if "/deadly" in path else "proper"
+        kind = "crashing" if "/crashing" in path else "proper"
         self.refused[kind] += 1
         if status == 503 and b"quarantined" in body:
             self.refused[kind + " refused"] += 1
 
-    def check_deadly(self):
-        for target, ends in self.deadly_ends.items():
+    def check_crashing(self):
+        for target, ends in self.crashing_ends.items():
             if len(ends) < LOSSES:
                 continue
             known = sorted(ends)[LOSSES - 1] + LEARN + self.options.slack
             late = {}
-            for t in self.deadly_runs[target]:
+            for t in self.crashing_runs[target]:
                 # A fan-out is sent to its shards at once and counts once.
                 if t > known and not any(abs(t - other) < 0.2 for other in late):
                     late[t] = True
@@ -354,10 +354,10 @@
                 self.fail("%s ran %d times later than %.1f s after it had ended %d upstreams; %d ended in all" % (
                     target, len(late), LEARN + self.options.slack, LOSSES, len(ends)))
         if self.refused["proper refused"] > 5 + self.refused["proper"] / 500:
-            self.fail("%d of %d proper requests were refused as deadly" % (
+            self.fail("%d of %d proper requests were refused as crashing" % (
                 self.refused["proper refused"], self.refused["proper"]))
-        self.outcomes["ends"] = sum(len(ends) for ends in self.deadly_ends.values())
-        self.outcomes["deadly refused"] = self.refused["deadly refused"]
+        self.outcomes["ends"] = sum(len(ends) for ends in self.crashing_ends.values())
+        self.outcomes["crashing refused"] = self.refused["crashing refused"]
         self.outcomes["proper refused"] = self.refused["proper refused"]
 
     def check_version(self, rid, status, gateway, probe, sent):
@@ -567,7 +567,7 @@
                 await asyncio.gather(self.disturb(), *callers)
                 await asyncio.sleep(0.5)
                 self.check_budget()
-                self.check_deadly()
+                self.check_crashing()
                 if sum(v for k, v in self.outcomes.items() if k.endswith(" 200")) == 0:
                     self.fail("nothing was served")
             finally:
--- a/Tests/soak/standins.py
+++ b/Tests/soak/standins.py
@@ -134,7 +134,7 @@
                 self.world.ran(self, rid, method, target)
                 work = LONG_WORK if "/long/" in target else self.work
                 await asyncio.sleep(work * (0.5 + self.world.random.random()))
-                if "/deadly" in target:
+                if "/crashing" in target:
                     self.world.tasks.append(asyncio.ensure_future(self.world.crash(self, target)))
                     raise ConnectionError("the process has ended")
         finally:
