review: Show that one spoiled answer ends a gateway

Case 1; the earlier cases move by one. An answer with a stated length of 300 TB makes the allocation in the parser throw, which ends the process.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A faulty server repeats a rejection late, on the connection on which the gateway has sent the same request again."""
+"""A faulty server spoils the length of an answer; the gateway that reads it ends."""
 
 import asyncio
 import os
@@ -9,89 +9,97 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 import standins  # noqa: E402
 
-WORK_S = 0.04
-SERVICES = ["orders%d" % n for n in range(5)]
-SERVERS_EACH = 2
-# Of the site file: garble, "extra late", share 0.6 of the servers, 0.03 of their answers, for 5 s.
-GARBLED_SERVERS = 6
-GARBLED_ANSWERS = 0.03
-GARBLED_S = 5
+# Of the site file: garble, share 0.35 of the servers, 0.02 of their answers, for 5.5 s.
+SERVERS, SPOILING_SERVERS = 6, 2
+SPOILED_ANSWERS = 0.02
+SPOILED_S = 5.5
 WINDOWS = 3
-PAUSE_S = 11
-HOSTS = ["a", "b", "a", "b", "a", "b"]
-CLIENTS_EACH = 12
-LIMIT_MS = 3000
+PAUSE_S = 8
+# What a spoiled answer states instead of the length of its body.
+SPOILED_LENGTH = b"300000000000000"
+WORK_S = 0.16
+LIMIT_MS = 6000
+HOSTS = ["a", "b", "a", "b"]
+CLIENTS = 32
+RESTART_S = 0.5
+# Requests passed on to a sound server and cut without an answer that the rule allows.
+ALLOWED = 3
 
 
 class Server(standins.Server):
-    """Sends the copy of an answer where the next response on the connection is expected."""
-
-    is_garbling = False
+    spoils = False
+    has_spoiled = False
     random = random.Random()
 
     def work_time(self, request):
-        return WORK_S * (0.5 + self.random.random())
-
-    async def after_answer(self, request, connection, answer):
-        if self.is_garbling and self.random.random() < GARBLED_ANSWERS:
-            connection["extra"] = (request["id"], answer)
+        return WORK_S * self.random.uniform(0.5, 1.5)
 
-    async def next_request(self, request, connection):
-        extra = connection.pop("extra", None)
-        if extra:
-            self.bed.record("server %s sends another copy of its answer to %s on connection %d" % (
-                self.id, extra[0], connection["number"]))
-            connection["writer"].write(extra[1])
+    async def before_answer(self, request, connection):
+        if not self.spoils or request.get("rejected") or self.random.random() >= SPOILED_ANSWERS:
+            return True
+        self.bed.record("server %s spoils its answer to %s" % (self.id, request["id"]))
+        proof = "%s.%s.%s" % (request["id"], self.service, self.id)
+        answer = standins.message("HTTP/1.1 200 OK", {
+            "X-Papayabend-Request-Id": request["id"], "X-Papayabend-Server-Stamp": proof}, proof.encode())
+        length = b"Content-Length: %d" % len(proof)
+        connection["writer"].write(answer.replace(length, b"Content-Length: " + SPOILED_LENGTH))
+        return False
 
 
 async def case(bed, trouble):
-    bed.servers = [Server(bed, service, "ab"[n], 2, 2, 26) for service in SERVICES for n in range(SERVERS_EACH)]
+    bed.servers = [Server(bed, "desk", "ab"[n % 2], 6, 24, 110) for n in range(SERVERS)]
     await bed.configure(1, [{
-        "name": service, "host": "bed.example", "prefix": "/%s/" % service, "type": "non_idempotent",
-        "timeout-ms": LIMIT_MS, "target-latency-ms": 500, "priority": 1, "service": service, "max-attempts": 2}
-        for service in SERVICES], dict.fromkeys(SERVICES, 26))
+        "name": "check", "host": "bed.example", "prefix": "/check/", "type": "idempotent", "timeout-ms": LIMIT_MS,
+        "target-latency-ms": 600, "priority": 1, "service": "desk", "max-attempts": 2}], {"desk": 110})
     await bed.start(HOSTS)
-    ends = bed.record.now() + PAUSE_S + WINDOWS * (GARBLED_S + PAUSE_S)
-    count = 0
-    is_busy = False
+    faulty = {server.id for server in bed.servers[:SPOILING_SERVERS]}
+    ends = bed.record.now() + WINDOWS * (PAUSE_S + SPOILED_S) + 2
+    count, cut, own_ends, statuses = 0, [], [], []
 
-    async def client(n, service):
+    async def client(n):
         nonlocal count
-        gateway = bed.gateways[n % len(bed.gateways)]
+        connection = standins.Connection(bed, bed.gateways[n % len(bed.gateways)])
         while bed.record.now() < ends:
             count += 1
-            await bed.send(gateway, "r%d" % count, "/%s/%d" % (service, count), "POST", b"order", LIMIT_MS)
-            # Servers reject requests only while many come at a time.
-            await asyncio.sleep(random.uniform(0, 0.04 if is_busy else 0.6))
+            request = "r%d" % count
+            is_kept = connection.writer is not None and connection.answered > 0
+            status = await connection.send(request, "/check/%d" % count, LIMIT_MS)
+            statuses.append(status)
+            if status == "cut" and is_kept and {server for _, server in bed.arrivals[request]} - faulty:
+                cut.append(request)
+            await asyncio.sleep(0.3 if status is None else random.uniform(0, 0.1))
+        connection.close()
+
+    async def restart(gateway):
+        """Starts the process again after it has ended, as the platform does."""
+        while True:
+            status = await gateway.process.wait()
+            own_ends.append(gateway.ip)
+            bed.record("gateway %s has ended by itself with status %d" % (gateway.ip, status))
+            await asyncio.sleep(RESTART_S)
+            await gateway.start()
 
     async def disturb():
-        nonlocal is_busy
         for _ in range(WINDOWS):
-            is_busy = False
             await asyncio.sleep(PAUSE_S)
-            is_busy = True
-            for server in bed.servers[:GARBLED_SERVERS]:
-                server.is_garbling = trouble
-            await asyncio.sleep(GARBLED_S)
+            for server in bed.servers[:SPOILING_SERVERS]:
+                server.spoils = trouble
+            await asyncio.sleep(SPOILED_S)
             for server in bed.servers:
-                server.is_garbling = False
-
-    await asyncio.gather(disturb(), *[
-        client(n, service) for service in SERVICES for n in range(CLIENTS_EACH)])
-    await asyncio.sleep(1)
-    bed.check_alive()
-    statuses = list(bed.answers.values())
-    bed.record("%d requests: %s" % (count, {str(s): statuses.count(s) for s in set(statuses)}))
-    if statuses.count(200) < count / 10:
+                server.spoils = False
+
+    watches = [asyncio.ensure_future(restart(gateway)) for gateway in bed.gateways]
+    await asyncio.gather(disturb(), *[client(n) for n in range(CLIENTS)])
+    for watch in watches:
+        watch.cancel()
+    bed.record("%d requests, %d answered with 200, %d ends of gateways, %d requests cut at sound servers" % (
+        count, statuses.count(200), len(own_ends), len(cut)))
+    if statuses.count(200) < count / 4:
         raise standins.CannotRun("too few requests were served")
-    broken = []
-    for request, runs in bed.runs.items():
-        if len(runs) > 1:
-            broken.append("TWICE: %s isn't idempotent and ran %d times: %s" % (
-                request, len(runs), ["%.3f s on %s" % run for run in runs]))
-        if bed.answers.get(request) in (429, 503, 408, 421):
-            broken.append("REFUSED: %s isn't idempotent, was answered %d and has run" % (request, bed.answers[request]))
-    return broken
+    if len(cut) <= ALLOWED:
+        return []
+    return ["LOST: gateways ended by themselves %d times; %d requests from kept connections were passed on to a sound "
+            "server and cut without an answer, among them %s" % (len(own_ends), len(cut), cut[0])]
 
 
 standins.run(case, HERE)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,72 +1,97 @@
-"""A hedge waits for a connection to a slow server; the server drains, and gets the request long afterwards."""
+"""A faulty server repeats a rejection late, on the connection on which the gateway has sent the same request again."""
 
 import asyncio
 import os
+import random
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 import standins  # noqa: E402
 
-DRAIN_S = 3.0
-LIMIT_MS = 6000
-# Work and speeds of the site file; the slow-down of its largest dose is twelvefold.
-WORK_S = 0.32
-SPEEDS = [0.8, 1.3]
-SLOW_X = 12
-SLOW_S = 8
-REQUESTS = 8
-# A gateway takes its full part of the retry budget one window after its start.
-CALM_S = 11
+WORK_S = 0.04
+SERVICES = ["orders%d" % n for n in range(5)]
+SERVERS_EACH = 2
+# Of the site file: garble, "extra late", share 0.6 of the servers, 0.03 of their answers, for 5 s.
+GARBLED_SERVERS = 6
+GARBLED_ANSWERS = 0.03
+GARBLED_S = 5
+WINDOWS = 3
+PAUSE_S = 11
+HOSTS = ["a", "b", "a", "b", "a", "b"]
+CLIENTS_EACH = 12
+LIMIT_MS = 3000
 
 
 class Server(standins.Server):
-    speed = 1.0
-    slow = 1
+    """Sends the copy of an answer where the next response on the connection is expected."""
+
+    is_garbling = False
+    random = random.Random()
 
     def work_time(self, request):
-        return WORK_S * self.speed * self.slow
+        return WORK_S * (0.5 + self.random.random())
+
+    async def after_answer(self, request, connection, answer):
+        if self.is_garbling and self.random.random() < GARBLED_ANSWERS:
+            connection["extra"] = (request["id"], answer)
+
+    async def next_request(self, request, connection):
+        extra = connection.pop("extra", None)
+        if extra:
+            self.bed.record("server %s sends another copy of its answer to %s on connection %d" % (
+                self.id, extra[0], connection["number"]))
+            connection["writer"].write(extra[1])
 
 
 async def case(bed, trouble):
-    bed.servers = [Server(bed, "desk", "ab"[n], 4, 12, 26) for n in range(2)]
-    for server, speed in zip(bed.servers, SPEEDS):
-        server.speed = speed
+    bed.servers = [Server(bed, service, "ab"[n], 2, 2, 26) for service in SERVICES for n in range(SERVERS_EACH)]
     await bed.configure(1, [{
-        "name": "check", "host": "bed.example", "prefix": "/check/", "type": "idempotent", "timeout-ms": LIMIT_MS,
-        "target-latency-ms": 600, "priority": 1, "service": "desk", "max-attempts": 2}], {"desk": 26})
-    await bed.start(["a", "b"])
-    ready = bed.record.now()
+        "name": service, "host": "bed.example", "prefix": "/%s/" % service, "type": "non_idempotent",
+        "timeout-ms": LIMIT_MS, "target-latency-ms": 500, "priority": 1, "service": service, "max-attempts": 2}
+        for service in SERVICES], dict.fromkeys(SERVICES, 26))
+    await bed.start(HOSTS)
+    ends = bed.record.now() + PAUSE_S + WINDOWS * (GARBLED_S + PAUSE_S)
     count = 0
+    is_busy = False
 
-    async def send(gateway):
+    async def client(n, service):
         nonlocal count
-        count += 1
-        await bed.send(gateway, "r%d" % count, "/check/%d" % count, limit_ms=LIMIT_MS)
-
-    while bed.record.now() < ready + CALM_S:
-        await asyncio.gather(*[send(gateway) for gateway in bed.gateways])
-        await asyncio.sleep(0.3)
-    for server in bed.servers:
-        server.slow = SLOW_X if trouble else 1
-    bed.record("servers are %s" % ("%d times slower" % SLOW_X if trouble else "as fast as before"))
-    requests = [asyncio.ensure_future(send(gateway)) for gateway in bed.gateways for _ in range(REQUESTS)]
-    await asyncio.sleep(0.4)
-    leaving = bed.servers[1]
-    acknowledged = leaving.drain()
-    bed.record("server %s drains; the store has acknowledged this" % leaving.id)
-    await asyncio.sleep(SLOW_S - 0.4)
-    for server in bed.servers:
-        server.slow = 1
-    await asyncio.gather(*requests)
-    await asyncio.sleep(0.5)
+        gateway = bed.gateways[n % len(bed.gateways)]
+        while bed.record.now() < ends:
+            count += 1
+            await bed.send(gateway, "r%d" % count, "/%s/%d" % (service, count), "POST", b"order", LIMIT_MS)
+            # Servers reject requests only while many come at a time.
+            await asyncio.sleep(random.uniform(0, 0.04 if is_busy else 0.6))
+
+    async def disturb():
+        nonlocal is_busy
+        for _ in range(WINDOWS):
+            is_busy = False
+            await asyncio.sleep(PAUSE_S)
+            is_busy = True
+            for server in bed.servers[:GARBLED_SERVERS]:
+                server.is_garbling = trouble
+            await asyncio.sleep(GARBLED_S)
+            for server in bed.servers:
+                server.is_garbling = False
+
+    await asyncio.gather(disturb(), *[
+        client(n, service) for service in SERVICES for n in range(CLIENTS_EACH)])
+    await asyncio.sleep(1)
     bed.check_alive()
-    if sum(1 for status in bed.answers.values() if status == 200) < count / 2:
+    statuses = list(bed.answers.values())
+    bed.record("%d requests: %s" % (count, {str(s): statuses.count(s) for s in set(statuses)}))
+    if statuses.count(200) < count / 10:
         raise standins.CannotRun("too few requests were served")
-    return ["DRAIN: %s reached %s %.3f s after the store had acknowledged that it drains" % (
-                request, server, at - acknowledged)
-            for request, arrivals in bed.arrivals.items() for at, server in arrivals
-            if server == leaving.id and at - acknowledged > DRAIN_S]
+    broken = []
+    for request, runs in bed.runs.items():
+        if len(runs) > 1:
+            broken.append("TWICE: %s isn't idempotent and ran %d times: %s" % (
+                request, len(runs), ["%.3f s on %s" % run for run in runs]))
+        if bed.answers.get(request) in (429, 503, 408, 421):
+            broken.append("REFUSED: %s isn't idempotent, was answered %d and has run" % (request, bed.answers[request]))
+    return broken
 
 
 standins.run(case, HERE)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -310,6 +310,52 @@
             return False
 
 
+class Connection:
+    """A client's connection to a gateway, kept for many requests."""
+
+    def __init__(self, bed, gateway):
+        self.bed, self.gateway = bed, gateway
+        self.reader = self.writer = None
+        self.answered = 0
+
+    async def send(self, request_id, target, limit_ms=6000):
+        """Returns the status, "cut" if the gateway closed the connection instead, or None if there was no answer."""
+        bed = self.bed
+        try:
+            if self.writer is None:
+                self.reader, self.writer = await asyncio.open_connection(self.gateway.ip, bed.ports["callers"])
+                self.answered = 0
+        except OSError:
+            bed.record("client cannot connect to %s" % self.gateway.ip)
+            return None
+        bed.record("client sends %s GET %s to %s, request %d on its connection" % (
+            request_id, target, self.gateway.ip, self.answered + 1))
+        self.writer.write(message("GET %s HTTP/1.1" % target, {
+            "Host": "bed.example", "X-Papayabend-Request-Id": request_id, "X-Papayabend-Deadline-Ms": str(limit_ms)}))
+        try:
+            first, headers, _ = await asyncio.wait_for(read_message(self.reader), limit_ms / 1000 + 0.5)
+        except (asyncio.IncompleteReadError, OSError):
+            bed.record("client finds that %s has closed the connection without an answer to %s" % (
+                self.gateway.ip, request_id))
+            self.close()
+            return "cut"
+        except asyncio.TimeoutError:
+            bed.record("client gets no answer for %s" % request_id)
+            self.close()
+            return None
+        self.answered += 1
+        status = int(first.split(" ")[1])
+        bed.record("client gets %d for %s" % (status, request_id))
+        if headers.get("connection", "").lower() == "close":
+            self.close()
+        return status
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.writer = None
+
+
 class Bed:
     """What a script plays with: a store, servers, gateways, and the record of all that they saw."""
 
