gateway: Reserve nothing for stated lengths and contain exceptions

Cause: http::string_body of Boost.Beast reserves the stated length, an eager parser loses its error for the limit if a part of the body comes with the header, and nothing between a message and main() handled the std::bad_alloc. Ruled out: chunked framing, the requests of clients and CBOR counts, which were refused before (tests). Found on related paths: text of a peer that is not valid UTF-8 (Peer-Address of a pull, addresses in heartbeats) threw from our own JSON and ended the process too; "Keep-Alive: timeout=" without bound overflowed.

Change: gateway/ReceivedBody grows with the bytes that arrive only, and a stated length above the limit is refused; gateway/MessageFaults contains an exception at the connection of its message, with a log line and a counter.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -216,7 +216,10 @@
     attempt->buildRequest = [self](const std::string& upstream) { return self->buildUpstreamRequest(upstream); };
     attempt->onSent = [self, index](const Attempt& sent) { self->attemptSent(self->m_subrequests[index], sent); };
     attempt->onEnd = [self, index](const Attempt& ended, CallResult result) {
-        self->attemptEnded(self->m_subrequests[index], ended, std::move(result));
+        auto isHandled = self->m_state.faults->contain(
+            "upstream", [&] { self->attemptEnded(self->m_subrequests[index], ended, std::move(result)); });
+        if (!isHandled)
+            self->finish(plainAnswer(502, "the answer of an upstream could not be handled"), "fault");
     };
     return attempt;
 }
--- a/Source/papayabend/gateway/Gateway.cpp
+++ b/Source/papayabend/gateway/Gateway.cpp
@@ -26,7 +26,8 @@
         std::cerr << "papayabend-gateway: " << reason.text << '\n';
         return exitCannotListen;
     }
-    io.run();
+    // A handler that throws has ended; the others go on.
+    while (!host.faults().contain("event loop", [&io] { io.run(); })) { }
     return 0;
 }
 
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -53,7 +53,8 @@
 
 GatewayHost::GatewayHost(boost::asio::io_context& io, const GatewaySettings& settings, std::string settingsFile,
     const PlatformAdapter& adapter, uint64_t seed)
-    : m_log(settings.log, settings.host.name, STDOUT_FILENO)
+    : m_faults(std::make_shared<MessageFaults>())
+    , m_log(settings.log, settings.host.name, STDOUT_FILENO)
     , m_state { .io = io,
         .adapter = adapter,
         .settings = settings,
@@ -61,13 +62,14 @@
         .metrics = m_metrics,
         .fleet = fleet::FleetView(initialHeartbeat(settings)),
         .content = Content(adapter),
-        .pool = UpstreamPool(io, adapter.headers.requestId),
+        .pool = UpstreamPool(io, adapter.headers.requestId, m_faults),
         .budgetShare = { .startedAt = base::BootClock::now() },
-        .random = base::Random(seed) }
+        .random = base::Random(seed),
+        .faults = m_faults }
     , m_settingsFile(std::move(settingsFile))
     , m_settingsText(readFile(m_settingsFile))
-    , m_storeReader(io, adapter, settings.store.address, seed + 1, storeEvents())
-    , m_peerLink(io, m_state.fleet, seed + 2, peerEvents())
+    , m_storeReader(io, adapter, settings.store.address, seed + 1, storeEvents(), m_faults)
+    , m_peerLink(io, m_state.fleet, seed + 2, peerEvents(), m_faults)
     , m_tickTimer(io)
     , m_stopTimer(io)
     , m_pullTimer(io)
@@ -75,6 +77,9 @@
     , m_contentTransfers(std::make_shared<fleet::ContentTransfers>())
     , m_startedAt(base::BootClock::now())
 {
+    m_faults->setReport([this](std::string_view source, std::string_view reason) {
+        logEvent("fault", LogFields().add("source", source).add("reason", reason), LineClass::Failure);
+    });
 }
 
 GatewayHost::~GatewayHost() = default;
@@ -90,7 +95,7 @@
     if (it != m_listeners.end())
         return *it->second;
     auto handler = [this, address](const std::shared_ptr<ClientRequest>& request) { handle(address, request); };
-    return *m_listeners.emplace_back(address, std::make_unique<HttpListener>(m_state.io, handler)).second;
+    return *m_listeners.emplace_back(address, std::make_unique<HttpListener>(m_state.io, handler, m_faults)).second;
 }
 
 bool GatewayHost::start(base::LastReason& reason)
@@ -385,6 +390,7 @@
     gauge("client_connections", connections);
     gauge("open_requests", requests);
     counter("store_calls_total", m_storeReader.calls());
+    counter("message_faults_total", m_faults->count());
     counter("log_lines_dropped_total", m_log.dropped());
     counter("peer_sent_bytes_total", m_peerLink.sentBytes());
     counter("content_pulls_total", m_transfers.pulls);
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -35,6 +35,8 @@
      * error in the table. */
     bool start(base::LastReason&);
 
+    MessageFaults& faults() { return *m_state.faults; }
+
 private:
     /** A host serves again this long after a pause even if neither the store nor another host has answered: then no
      * other host is reachable either. */
@@ -124,6 +126,7 @@
         base::TimePoint usedAt {};
     };
 
+    std::shared_ptr<MessageFaults> m_faults;
     EventLog m_log;
     GatewayMetrics m_metrics;
     GatewayState m_state;
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -62,6 +62,8 @@
     std::unordered_map<const Exchange*, std::weak_ptr<Exchange>> exchanges;
     /** End of a planned stop, by which every request is answered; empty while no stop is planned. */
     std::optional<base::TimePoint> endsAt;
+    /** Exceptions that messages of peers have caused. */
+    std::shared_ptr<MessageFaults> faults { std::make_shared<MessageFaults>() };
 };
 
 }
--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/gateway/HttpCall.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
@@ -28,6 +29,8 @@
     constexpr int maxProbes = 2;
     // Subtracted from the peer's idle limit, so that a request does not arrive while the peer closes the connection.
     constexpr std::chrono::milliseconds idleMargin { 300 };
+    // Longer idle limits of a peer are taken for this one, so that they can be added to a point in time.
+    constexpr uint64_t maxIdleSeconds = 3600;
 
     void setSocketOptions(tcp::socket& socket)
     {
@@ -55,9 +58,11 @@
 
 }
 
-HttpConnection::HttpConnection(asio::io_context& io, std::shared_ptr<ReceiveBudget> budget)
+HttpConnection::HttpConnection(
+    asio::io_context& io, std::shared_ptr<ReceiveBudget> budget, std::shared_ptr<MessageFaults> faults)
     : m_socket(io)
     , m_budget(std::move(budget))
+    , m_faults(faults ? std::move(faults) : std::make_shared<MessageFaults>())
 {
 }
 
@@ -144,18 +149,26 @@
     auto n = m_socket.read_some(asio::buffer(buf), ec);
     if (ec == asio::error::would_block)
         return waitForInput();
+    auto self = shared_from_this();
+    auto isHandled = m_faults->contain("answer", [&] { receive({ buf.data(), n }, ec); });
+    if (!isHandled)
+        m_faults->contain("answer", [&] { close("the answer could not be handled", false); });
+    if (m_socket.is_open())
+        waitForInput();
+}
+
+void HttpConnection::receive(std::string_view bytes, const error_code& ec)
+{
     if (ec)
         return inputEnded(ec);
     if (!m_done)
         return close("the peer sent data while no request was in flight");
-    if (auto problem = countReceived(n); !problem.empty())
+    if (auto problem = countReceived(bytes.size()); !problem.empty())
         return fail(CallEnd::Garbled, problem);
-    m_input.append(buf.data(), n);
+    m_input.append(bytes);
     parse();
     if (m_done && m_input.size() > maxUnparsedBytes)
         return fail(CallEnd::Garbled, "a part of the answer is longer than the limit");
-    if (m_socket.is_open())
-        waitForInput();
 }
 
 bool HttpConnection::confirmIdle()
@@ -200,6 +213,8 @@
         m_input.erase(0, n);
         if (ec && ec != http::error::need_more)
             return fail(CallEnd::Garbled, "not a valid HTTP answer: " + ec.message());
+        if (!m_parser->is_done() && statesMoreThan(*m_parser, maxAnswerBytes))
+            return fail(CallEnd::Garbled, "the stated length of the answer is above the limit");
         if (m_parser->is_done()) {
             if (!completeAnswer())
                 return;
@@ -232,7 +247,7 @@
     result.answer = m_parser->release();
     result.hadAnswerBytes = true;
     if (auto seconds = keepAliveSeconds(toView(result.answer[http::field::keep_alive])))
-        m_idleUntil = base::BootClock::now() + std::chrono::seconds(*seconds) - idleMargin;
+        m_idleUntil = base::BootClock::now() + std::chrono::seconds(std::min(*seconds, maxIdleSeconds)) - idleMargin;
     m_idleSince = base::BootClock::now();
     m_hasAnswered = true;
     if (!keepsAlive) {
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/Time.h"
 #include "papayabend/gateway/HttpMessage.h"
+#include "papayabend/gateway/MessageFaults.h"
 #include "papayabend/gateway/ReceiveBudget.h"
 
 #include <boost/asio/io_context.hpp>
@@ -50,8 +51,10 @@
     /** Longest body of an answer that is accepted, and longest input for one request without a header more. */
     static constexpr uint64_t maxAnswerBytes = 16 * 1024 * 1024;
 
-    /** \a budget: shared with other connections; nullptr if the connection has only its own bound. */
-    explicit HttpConnection(boost::asio::io_context&, std::shared_ptr<ReceiveBudget> budget = nullptr);
+    /** \a budget: shared with other connections; nullptr if the connection has only its own bound. \a faults: counts
+     * the exceptions that answers cause, each of which closes the connection; nullptr if they are not to be counted. */
+    explicit HttpConnection(boost::asio::io_context&, std::shared_ptr<ReceiveBudget> budget = nullptr,
+        std::shared_ptr<MessageFaults> faults = nullptr);
     ~HttpConnection();
     HttpConnection(const HttpConnection&) = delete;
     HttpConnection& operator=(const HttpConnection&) = delete;
@@ -88,10 +91,12 @@
     bool hasAnswered() const { return m_hasAnswered; }
 
 private:
-    using Parser = http::response_parser<http::string_body>;
+    using Parser = http::response_parser<ReceivedBody>;
 
     void waitForInput();
     void read();
+    /** Handles bytes that have arrived, or the end of the input. */
+    void receive(std::string_view bytes, const boost::system::error_code&);
     /** Counts received bytes; returns why the answer is to be given up, or an empty text. */
     std::string_view countReceived(size_t);
     /** Returns the bytes of the present answer to the shared budget. */
@@ -110,6 +115,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<ReceiveBudget> m_budget;
+    std::shared_ptr<MessageFaults> m_faults;
     std::optional<Parser> m_parser;
     std::string m_input;
     std::string m_output;
--- a/Source/papayabend/gateway/HttpListener.cpp
+++ b/Source/papayabend/gateway/HttpListener.cpp
@@ -61,12 +61,13 @@
 struct HttpListener::Impl : std::enable_shared_from_this<HttpListener::Impl> {
     struct Connection;
 
-    Impl(asio::io_context& context, Handler receiver)
+    Impl(asio::io_context& context, Handler receiver, std::shared_ptr<MessageFaults> messageFaults)
         : io(context)
         , acceptor(context)
         , sweepTimer(context)
         , retryTimer(context)
         , handler(std::move(receiver))
+        , faults(messageFaults ? std::move(messageFaults) : std::make_shared<MessageFaults>())
     {
     }
     void accept();
@@ -77,6 +78,7 @@
     asio::steady_timer sweepTimer;
     asio::steady_timer retryTimer;
     Handler handler;
+    std::shared_ptr<MessageFaults> faults;
     routes::ClientLimits limits;
     std::unordered_set<std::shared_ptr<Connection>> connections;
     size_t requests { 0 };
@@ -94,7 +96,7 @@
     {
     }
 
-    using Parser = http::request_parser<http::string_body>;
+    using Parser = http::request_parser<ReceivedBody>;
 
     void start()
     {
@@ -138,11 +140,24 @@
             return waitForInput();
         if (ec)
             return close();
+        contain([&] { receive({ buf.data(), n }); });
+        waitForInput();
+    }
+
+    /** Calls \a handle; closes the connection if it throws an exception. */
+    template <typename Handle> void contain(Handle&& handle)
+    {
+        auto self = shared_from_this();
+        if (!owner->faults->contain("request", std::forward<Handle>(handle)))
+            owner->faults->contain("request", [&] { close(); });
+    }
+
+    void receive(std::string_view bytes)
+    {
         if (phase != Phase::Lingering)
-            input.append(buf.data(), n);
+            input.append(bytes);
         if (phase == Phase::Idle || phase == Phase::Reading)
             parse();
-        waitForInput();
     }
 
     void parse()
@@ -158,6 +173,8 @@
             input.erase(0, n);
             if (ec && ec != http::error::need_more)
                 return refuse(ec);
+            if (statesMoreThan(*parser, owner->limits.bodyBytes))
+                return refuse(http::error::body_limit);
             if (parser->is_done())
                 return handle();
             if (parser->is_header_done())
@@ -252,7 +269,7 @@
         // Posted, because the handler may have answered within parse(), which must not call itself.
         if (!input.empty())
             asio::post(owner->io, [self = shared_from_this()] {
-                self->parse();
+                self->contain([&] { self->parse(); });
                 self->waitForInput();
             });
         waitForInput();
@@ -349,8 +366,8 @@
     });
 }
 
-HttpListener::HttpListener(asio::io_context& io, Handler handler)
-    : m_impl(std::make_shared<Impl>(io, std::move(handler)))
+HttpListener::HttpListener(asio::io_context& io, Handler handler, std::shared_ptr<MessageFaults> faults)
+    : m_impl(std::make_shared<Impl>(io, std::move(handler), std::move(faults)))
 {
 }
 
--- a/Source/papayabend/gateway/HttpListener.h
+++ b/Source/papayabend/gateway/HttpListener.h
@@ -3,6 +3,7 @@
 #include "papayabend/base/Time.h"
 #include "papayabend/dispatch/ReturnTime.h"
 #include "papayabend/gateway/HttpMessage.h"
+#include "papayabend/gateway/MessageFaults.h"
 #include "papayabend/routes/Configuration.h"
 
 #include <boost/asio/io_context.hpp>
@@ -34,7 +35,9 @@
 public:
     using Handler = std::function<void(const std::shared_ptr<ClientRequest>&)>;
 
-    HttpListener(boost::asio::io_context&, Handler);
+    /** \a faults: counts the exceptions that requests cause, each of which closes the connection; nullptr if they are
+     * not to be counted. */
+    HttpListener(boost::asio::io_context&, Handler, std::shared_ptr<MessageFaults> faults = nullptr);
     ~HttpListener();
     HttpListener(const HttpListener&) = delete;
     HttpListener& operator=(const HttpListener&) = delete;
--- a/Source/papayabend/gateway/HttpMessage.cpp
+++ b/Source/papayabend/gateway/HttpMessage.cpp
@@ -104,7 +104,9 @@
     Answer answer;
     answer.status = status;
     answer.fields = "Content-Type: application/json\r\n";
-    answer.body = nlohmann::json({ { "error", reason } }).dump();
+    // The reason may quote bytes of a peer that are not valid UTF-8.
+    answer.body
+        = nlohmann::json({ { "error", reason } }).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return answer;
 }
 
--- a/Source/papayabend/gateway/HttpMessage.h
+++ b/Source/papayabend/gateway/HttpMessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "papayabend/gateway/ReceivedBody.h"
+
 #include <boost/beast/http.hpp>
 #include <memory>
 #include <optional>
@@ -10,8 +12,18 @@
 
 namespace http = boost::beast::http;
 
-using HttpRequest = http::request<http::string_body>;
-using HttpResponse = http::response<http::string_body>;
+using HttpRequest = http::request<ReceivedBody>;
+using HttpResponse = http::response<ReceivedBody>;
+
+/** Returns whether the peer has stated a body that is longer than \a limit.
+ *
+ * To be asked after each part of a message: an eager parser of Boost.Beast 1.74 goes on past its own error for the body
+ * limit if a part of the body comes together with the header.
+ */
+template <bool isRequest> bool statesMoreThan(const http::basic_parser<isRequest>& parser, uint64_t limit)
+{
+    return parser.is_header_done() && parser.content_length().value_or(0) > limit;
+}
 
 /** Returns the header lines of \a fields without hop-by-hop fields, Content-Length and Expect, and without those in
  * \a excluded. */
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -38,11 +38,13 @@
 
 }
 
-PeerLink::PeerLink(asio::io_context& io, fleet::FleetView& fleet, uint64_t seed, PeerEvents events)
+PeerLink::PeerLink(asio::io_context& io, fleet::FleetView& fleet, uint64_t seed, PeerEvents events,
+    std::shared_ptr<MessageFaults> faults)
     : m_io(io)
     , m_fleet(fleet)
     , m_random(seed)
     , m_events(std::move(events))
+    , m_faults(faults ? std::move(faults) : std::make_shared<MessageFaults>())
     , m_socket(io)
     , m_timer(io)
 {
@@ -150,21 +152,25 @@
             auto n = m_socket.receive_from(asio::buffer(m_buffer), from, 0, problem);
             if (problem)
                 break;
-            base::LastReason reason;
-            if (auto message = fleet::decodeHeartbeats(std::span(m_buffer).first(n), reason)) {
-                m_events.messageReceived(*message);
-                continue;
-            }
-            ++m_refusedMessages;
-            m_events.messageRefused(reason.text, from.address().to_string());
+            m_faults->contain("peer", [&] { handleDatagram(std::span(m_buffer).first(n), from); });
         }
         receive();
     });
 }
 
+void PeerLink::handleDatagram(std::span<const uint8_t> bytes, const udp::endpoint& from)
+{
+    base::LastReason reason;
+    if (auto message = fleet::decodeHeartbeats(bytes, reason))
+        return m_events.messageReceived(*message);
+    ++m_refusedMessages;
+    m_events.messageRefused(reason.text, from.address().to_string());
+}
+
 std::string PeerLink::busyAnswer(std::span<const std::string> referrals)
 {
-    return nlohmann::json({ { "error", "too many transfers of content" }, { "referrals", referrals } }).dump();
+    return nlohmann::json({ { "error", "too many transfers of content" }, { "referrals", referrals } })
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 void PeerLink::watchPull(
@@ -195,7 +201,7 @@
     auto endpoint = tcpEndpoint(address);
     if (m_pullConnection || !endpoint)
         return;
-    m_pullConnection = std::make_shared<HttpConnection>(m_io);
+    m_pullConnection = std::make_shared<HttpConnection>(m_io, nullptr, m_faults);
     auto startedAt = base::BootClock::now();
     auto timer = std::make_shared<asio::steady_timer>(m_io);
     watchPull(timer, startedAt, 0);
--- a/Source/papayabend/gateway/PeerLink.h
+++ b/Source/papayabend/gateway/PeerLink.h
@@ -57,7 +57,9 @@
     /** Changes up to this size are sent with a heartbeat; hosts that lack larger ones pull them. */
     static constexpr size_t maxPushedBytes = 8 * 1024;
 
-    PeerLink(boost::asio::io_context&, fleet::FleetView&, uint64_t seed, PeerEvents);
+    /** \a faults: counts the exceptions that messages of other hosts cause; nullptr if they are not to be counted. */
+    PeerLink(boost::asio::io_context&, fleet::FleetView&, uint64_t seed, PeerEvents,
+        std::shared_ptr<MessageFaults> faults = nullptr);
     ~PeerLink();
     PeerLink(const PeerLink&) = delete;
     PeerLink& operator=(const PeerLink&) = delete;
@@ -83,6 +85,7 @@
     fleet::HeartbeatMessage ownMessage(bool toNewHost = false) const;
     void send(const std::string& bytes, const std::string& address);
     void receive();
+    void handleDatagram(std::span<const uint8_t>, const boost::asio::ip::udp::endpoint& from);
     /** Ends the pull if it makes no progress, or takes too long in all. */
     void watchPull(
         const std::shared_ptr<boost::asio::steady_timer>&, base::TimePoint startedAt, uint64_t receivedBytes);
@@ -93,6 +96,7 @@
     fleet::FleetView& m_fleet;
     base::Random m_random;
     PeerEvents m_events;
+    std::shared_ptr<MessageFaults> m_faults;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::vector<std::string> m_seeds;
--- a/Source/papayabend/gateway/StoreReader.cpp
+++ b/Source/papayabend/gateway/StoreReader.cpp
@@ -28,13 +28,14 @@
 
 }
 
-StoreReader::StoreReader(
-    boost::asio::io_context& io, const PlatformAdapter& adapter, std::string address, uint64_t seed, StoreEvents events)
+StoreReader::StoreReader(boost::asio::io_context& io, const PlatformAdapter& adapter, std::string address,
+    uint64_t seed, StoreEvents events, std::shared_ptr<MessageFaults> faults)
     : m_io(io)
     , m_adapter(adapter)
     , m_address(std::move(address))
     , m_random(seed)
     , m_events(std::move(events))
+    , m_faults(faults ? std::move(faults) : std::make_shared<MessageFaults>())
     , m_callTimer(io)
     , m_retryTimer(io)
 {
@@ -81,7 +82,7 @@
     auto endpoint = tcpEndpoint(m_address);
     if (!endpoint)
         return handleFailure("the address of the store is invalid");
-    m_connection = std::make_shared<HttpConnection>(m_io);
+    m_connection = std::make_shared<HttpConnection>(m_io, nullptr, m_faults);
     m_connection->open(*endpoint, [this, target, opened = m_connection](const std::string& problem) {
         if (opened != m_connection)
             return;
@@ -110,8 +111,10 @@
     auto fields = "Host: " + m_address + "\r\n";
     m_connection->send(requestText("GET", target, fields, {}, false), {}, {}, false,
         [this, used = m_connection](const CallResult& result) {
-            if (used == m_connection)
-                handleAnswer(result);
+            if (used != m_connection || m_faults->contain("store", [&] { handleAnswer(result); }))
+                return;
+            used->close("the answer could not be handled");
+            handleFailure("the answer could not be handled");
         });
 }
 
--- a/Source/papayabend/gateway/StoreReader.h
+++ b/Source/papayabend/gateway/StoreReader.h
@@ -34,7 +34,10 @@
  */
 class StoreReader {
 public:
-    StoreReader(boost::asio::io_context&, const PlatformAdapter&, std::string address, uint64_t seed, StoreEvents);
+    /** \a faults: counts the exceptions that answers of the store cause, each of which is a failed call; nullptr if
+     * they are not to be counted. */
+    StoreReader(boost::asio::io_context&, const PlatformAdapter&, std::string address, uint64_t seed, StoreEvents,
+        std::shared_ptr<MessageFaults> faults = nullptr);
     ~StoreReader();
     StoreReader(const StoreReader&) = delete;
     StoreReader& operator=(const StoreReader&) = delete;
@@ -68,6 +71,7 @@
     std::string m_address;
     base::Random m_random;
     StoreEvents m_events;
+    std::shared_ptr<MessageFaults> m_faults;
     std::shared_ptr<HttpConnection> m_connection;
     boost::asio::steady_timer m_callTimer;
     boost::asio::steady_timer m_retryTimer;
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -24,9 +24,10 @@
 
 }
 
-UpstreamPool::UpstreamPool(boost::asio::io_context& io, std::string idName)
+UpstreamPool::UpstreamPool(boost::asio::io_context& io, std::string idName, std::shared_ptr<MessageFaults> faults)
     : m_io(io)
     , m_idName(std::move(idName))
+    , m_faults(std::move(faults))
     , m_receiveBudget(std::make_shared<ReceiveBudget>())
 {
 }
@@ -101,7 +102,7 @@
     ++upstream.connecting;
     ++m_counters.connectionsOpened;
     refreshCounts(upstream);
-    auto connection = std::make_shared<HttpConnection>(m_io, m_receiveBudget);
+    auto connection = std::make_shared<HttpConnection>(m_io, m_receiveBudget, m_faults);
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, HttpConnection::connectTimeout);
     timer->async_wait([weak = std::weak_ptr(connection)](const boost::system::error_code& ec) {
         auto late = weak.lock();
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -32,8 +32,8 @@
  */
 class UpstreamPool {
 public:
-    /** \a idName: header field with the request id, which upstreams echo. */
-    UpstreamPool(boost::asio::io_context&, std::string idName);
+    /** \a idName: header field with the request id, which upstreams echo. \a faults: see HttpConnection. */
+    UpstreamPool(boost::asio::io_context&, std::string idName, std::shared_ptr<MessageFaults> faults = nullptr);
 
     /** Returns the load of an upstream; created at the first use. */
     dispatch::UpstreamLoad& load(std::string_view id);
@@ -109,6 +109,7 @@
     std::string m_idName;
     std::map<std::string, std::unique_ptr<Upstream>, std::less<>> m_upstreams;
     PoolCounters m_counters;
+    std::shared_ptr<MessageFaults> m_faults;
     std::shared_ptr<ReceiveBudget> m_receiveBudget; /**< Of all connections to upstreams. */
 };
 
--- a/Tests/gateway/HttpCallTest.cpp
+++ b/Tests/gateway/HttpCallTest.cpp
@@ -225,3 +225,57 @@
     CHECK_TRUE(call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok").end == CallEnd::Answered);
     LONGS_EQUAL(budget->maxBytes, budget->bytes);
 }
+
+// Guards against a length that an upstream states and never sends: it must reserve no memory, neither above the limit
+// of an answer nor below it, and end no more than its connection.
+TEST(HttpCall, StatedLengthReservesNothing)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
+    for (const auto* length : { "300000000000000", "9223372036854775807", "18446744073709551615" }) {
+        reconnect();
+        CHECK_TRUE(call(head + "Content-Length: " + length + "\r\n\r\npart").end == CallEnd::Garbled);
+        CHECK_FALSE(connection->isOpen());
+    }
+    for (const auto* size : { "110d9316ec000", "7fffffffffffffff", "ffffffffffffffff" }) {
+        reconnect();
+        CHECK_TRUE(call(head + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\npart").end == CallEnd::Garbled);
+        CHECK_FALSE(connection->isOpen());
+    }
+    http::response_parser<HttpResponse::body_type> parser;
+    parser.eager(true);
+    parser.body_limit(HttpConnection::maxAnswerBytes);
+    auto text = head + "Content-Length: 16000000\r\n\r\npart";
+    boost::system::error_code ec;
+    parser.put(asio::buffer(text), ec);
+    STRCMP_EQUAL("part", parser.get().body().c_str());
+    CHECK_TRUE(parser.get().body().capacity() < 1000);
+}
+
+// Guards against an exception of the handler of an answer that ends the process instead of its connection.
+TEST(HttpCall, ExceptionOfTheHandlerEndsItsConnection)
+{
+    auto faults = std::make_shared<MessageFaults>();
+    std::string reported;
+    faults->setReport([&](std::string_view source, std::string_view reason) {
+        reported = std::string(source) + ": " + std::string(reason);
+    });
+    connection = std::make_shared<HttpConnection>(io, budget, faults);
+    connection->open(acceptor.local_endpoint(), [](const std::string&) {});
+    upstream = std::make_unique<tcp::socket>(acceptor.accept());
+    while (!connection->isOpen())
+        io.run_one();
+    connection->send("GET / HTTP/1.1\r\n\r\n", "X-Id", "7", false,
+        [](const CallResult&) { throw std::runtime_error("cannot handle it"); });
+    asio::write(*upstream, asio::buffer(std::string("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n")));
+    while (connection->isOpen())
+        io.run_one();
+    LONGS_EQUAL(1, faults->count());
+    STRCMP_EQUAL("answer: cannot handle it", reported.c_str());
+}
+
+// Guards against an idle limit so long that it lies before the present once it is added to it.
+TEST(HttpCall, IdleLimitWithoutBoundIsNotInThePast)
+{
+    call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nKeep-Alive: timeout=18446744073709551615\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(connection->idleUntil().value() > base::BootClock::now());
+}
--- a/Tests/gateway/HttpListenerTest.cpp
+++ b/Tests/gateway/HttpListenerTest.cpp
@@ -196,3 +196,45 @@
     CHECK_TRUE(paths[0].roundTrip > 0us);
     CHECK_TRUE(paths[0].roundTrip < 1s);
 }
+
+// Guards against a length that a client states and never sends: it must reserve no memory, and bodies above the limit
+// must be refused also if a part of them comes together with the header.
+TEST(HttpListener, StatedLengthReservesNothing)
+{
+    for (const auto* length : { "65", "300000000000000", "18446744073709551615" }) {
+        auto head = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::string(length) + "\r\n\r\n";
+        CHECK_TRUE(exchange(head + "part").starts_with("HTTP/1.1 413 "));
+        CHECK_TRUE(exchange(head + std::string(65, 'x')).starts_with("HTTP/1.1 413 "));
+    }
+    for (const auto* size : { "41", "110d9316ec000", "ffffffffffffffff" }) {
+        auto head = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(size) + "\r\n";
+        CHECK_TRUE(exchange(head + std::string(65, 'x') + "\r\n").starts_with("HTTP/1.1 413 "));
+    }
+    CHECK_TRUE(bodies.empty());
+}
+
+// Guards against an exception of the handler of a request that ends the process, with the requests of other clients.
+TEST(HttpListener, ExceptionOfTheHandlerEndsItsConnection)
+{
+    auto faults = std::make_shared<MessageFaults>();
+    listener = std::make_unique<HttpListener>(
+        io,
+        [](const std::shared_ptr<ClientRequest>& request) {
+            if (request->message.target() == "/bad")
+                throw std::runtime_error("cannot handle it");
+            request->answer({ .status = 200 });
+        },
+        faults);
+    do
+        address = freeAddress();
+    while (!listener->start(address));
+    auto other = connect();
+    STRCMP_EQUAL("", exchange("GET /bad HTTP/1.1\r\nHost: h\r\n\r\n").c_str());
+    // The second request on a connection is handled by another path than the first.
+    auto answer = exchange("GET /good HTTP/1.1\r\nHost: h\r\n\r\nGET /bad HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 200 "));
+    LONGS_EQUAL(2, faults->count());
+    LONGS_EQUAL(0, listener->openRequests());
+    asio::write(other, asio::buffer(std::string("GET /good HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    CHECK_TRUE(readToEnd(other).starts_with("HTTP/1.1 200 "));
+}
--- a/Tests/gateway/HttpMessageTest.cpp
+++ b/Tests/gateway/HttpMessageTest.cpp
@@ -43,3 +43,9 @@
     CHECK_FALSE(parseNumber("").has_value());
     CHECK_FALSE(parseNumber("-1").has_value());
 }
+
+// Guards against an exception because a reason quotes bytes of a peer that are no text.
+TEST(HttpMessage, ReasonsMayQuoteAnyBytes)
+{
+    CHECK_TRUE(plainAnswer(502, "status \xff\xc0").body.find("status") != std::string::npos);
+}
--- a/Tests/gateway/PeerLinkTest.cpp
+++ b/Tests/gateway/PeerLinkTest.cpp
@@ -54,3 +54,57 @@
     STRCMP_EQUAL("", result->problem.c_str());
     STRCMP_EQUAL("aabbccddeeff", result->content.c_str());
 }
+
+// Guards against a length that another host states and never sends.
+TEST(PeerLink, StatedLengthReservesNothing)
+{
+    pull();
+    sender.send(*peer, { "HTTP/1.1 200 OK\r\nContent-Length: 300000000000000\r\n\r\naa" }, 1ms);
+    runUntilEnded(10s);
+    CHECK_TRUE(result.has_value());
+    STRCMP_EQUAL("the stated length of the answer is above the limit", result->problem.c_str());
+}
+
+// Guards against a datagram that cannot be handled and ends the process or the exchange of heartbeats, and against one
+// that states more elements than it has.
+TEST(PeerLink, ExceptionOfTheHandlerEndsOneDatagram)
+{
+    auto faults = std::make_shared<MessageFaults>();
+    size_t received = 0;
+    size_t refused = 0;
+    PeerEvents events;
+    events.crashNotices = [](bool) { return std::vector<dispatch::CrashNotice> {}; };
+    events.limitNotices = [] { return std::vector<dispatch::LimitNotice> {}; };
+    events.messageReceived = [&](const fleet::HeartbeatMessage&) {
+        if (++received == 1)
+            throw std::length_error("cannot handle it");
+    };
+    events.messageRefused = [&](const std::string&, const std::string&) { ++refused; };
+    link = std::make_unique<PeerLink>(io, fleet, 1, events, faults);
+    std::string address;
+    do
+        address = freeAddress();
+    while (!link->start(address, {}));
+    asio::ip::udp::socket other(io, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+    asio::ip::udp::endpoint endpoint(
+        asio::ip::address_v4::loopback(), static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+    auto message = fleet::encodeHeartbeats({ { fleet.self() }, {}, {}, {} });
+    for (const auto* lengths : { "\x9b\xff\xff\xff\xff\xff\xff\xff\xfe", "\x5b\x7f\xff\xff\xff\xff\xff\xff\xff" })
+        other.send_to(asio::buffer(std::string(lengths, 9)), endpoint);
+    for (int n = 0; n < 2; ++n)
+        other.send_to(asio::buffer(message), endpoint);
+    auto end = base::BootClock::now() + 5s;
+    while (received < 2 && base::BootClock::now() < end)
+        io.run_for(5ms);
+    LONGS_EQUAL(2, received);
+    LONGS_EQUAL(2, refused);
+    LONGS_EQUAL(1, faults->count());
+}
+
+// Guards against a host that pulls content under an address that is not valid text: the refusal names such addresses,
+// and must not throw.
+TEST(PeerLink, RefusalNamesAddressesThatAreNoText)
+{
+    std::string address = "\xff\xfe";
+    CHECK_TRUE(PeerLink::busyAnswer(std::span(&address, 1)).find("referrals") != std::string::npos);
+}
--- a/Tests/gateway/StoreReaderTest.cpp
+++ b/Tests/gateway/StoreReaderTest.cpp
@@ -63,3 +63,33 @@
     runUntilListedOrLost();
     STRCMP_EQUAL("the store did not answer in time", problem.c_str());
 }
+
+// Guards against a page of the store that cannot be handled and ends the process, or ends the reading for good.
+TEST(StoreReader, ExceptionOfTheHandlerIsAFailedCall)
+{
+    adapter.parsePage = [](std::string_view body, base::LastReason&) -> std::optional<StorePage> {
+        if (body == "bad")
+            throw std::length_error("cannot handle it");
+        return StorePage { { { "key", "", 1 } }, false, 1 };
+    };
+    sender.send(store, { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad" }, 1ms);
+    runUntilListedOrLost();
+    STRCMP_EQUAL("the answer could not be handled", problem.c_str());
+    tcp::socket next(io);
+    PieceSender nextSender(io);
+    acceptor.async_accept(next, [&](const boost::system::error_code&) {
+        nextSender.send(next, { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\naa" }, 1ms);
+    });
+    auto end = base::BootClock::now() + 5s;
+    while (listed.empty() && base::BootClock::now() < end)
+        io.run_for(20ms);
+    STRCMP_EQUAL("key", listed.c_str());
+}
+
+// Guards against a length that the store states and never sends.
+TEST(StoreReader, StatedLengthReservesNothing)
+{
+    sender.send(store, { "HTTP/1.1 200 OK\r\nContent-Length: 300000000000000\r\n\r\naa" }, 1ms);
+    runUntilListedOrLost();
+    STRCMP_EQUAL("the stated length of the answer is above the limit", problem.c_str());
+}
--- a/Tests/platform/CallsTest.cpp
+++ b/Tests/platform/CallsTest.cpp
@@ -36,3 +36,10 @@
     STRCMP_EQUAL(
         R"({"addrs":["10.0.0.1:1","10.0.0.2:1"],"ttl_s":1.5})", adapter.entryAnswer(addresses, 1500ms).c_str());
 }
+
+// Guards against an exception because another host has stated an address that is no text.
+TEST(Calls, EntryAnswerNamesAddressesThatAreNoText)
+{
+    std::vector<std::string> addresses { "\xff\xfe", "10.0.0.2:1" };
+    CHECK_TRUE(adapter.entryAnswer(addresses, 1500ms).find("10.0.0.2:1") != std::string::npos);
+}
--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -8,6 +8,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -59,6 +60,7 @@
         self.planned_only = options.planned
         self.log = []
         self.next_id = 0
+        self.has_ended = False
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -204,8 +206,18 @@
                    "paused": False}
         self.gateways[index] = gateway
         self.note("host%d starts, process %d" % (index, process.pid))
+        self.tasks.append(asyncio.ensure_future(self.watch(gateway)))
         return gateway
 
+    async def watch(self, gateway):
+        """Notices a process that ends by itself, and starts it again."""
+        status = await gateway["process"].wait()
+        if gateway["stopping"] is not None or self.has_ended:
+            return
+        gateway["stopping"] = -1
+        self.fail("host%d has ended by itself with %s" % (gateway["index"], status))
+        await self.start_gateway(gateway["index"])
+
     async def stop_gateway(self, gateway, how):
         if gateway["stopping"] is not None:
             return
@@ -280,7 +292,7 @@
         if kind == "once" and gateway["stopping"] is not None:
             path = "/once/long/" + rid
         chance = random_.random()
-        if kind in ("all", "again") and chance < 0.02:
+        if kind in ("all", "again") and chance < 0.02 and not self.options.wrong_bytes:
             path = "/%s/crashing%d" % (kind, random_.randint(0, 1))
         elif kind in ("all", "again") and chance < 0.2:
             path = "/%s/popular%d" % (kind, random_.randint(0, 2))
@@ -538,6 +550,45 @@
                 [None, 7, {}, {"service": "desk"}, {"service": 1, "address": "x", "state": "up"}, odd, nested]))
         return [kill, pause, silence, resets, lose, extra, slow, store_down, store_silent, compact, forged]
 
+    async def send_wrong_bytes(self):
+        """Lets upstreams, clients and peers send wrong bytes all the time."""
+        while self.options.wrong_bytes and self.now() < self.ends - 2:
+            await asyncio.sleep(self.random.uniform(0.05, 0.5))
+            upstream = self.random.choice(list(self.upstreams.values()))
+            upstream.spoil = 0.05 if upstream.spoil == 0 else 0
+            self.calm_since = max(self.calm_since, self.now())
+            await self.send_wrong_requests()
+            await self.send_wrong_datagrams()
+
+    async def send_wrong_requests(self):
+        """Sends requests with odd lengths, framings and bytes to each kind of port."""
+        gateway = self.random.choice(self.gateways)
+        self.sent_once["\xff"] = "again"
+        head = "POST %s HTTP/1.1\r\nHost: soak.example\r\n" % self.random.choice(["/once/x", "/all/x", "/content?after=0"])
+        for port in PORTS.values():
+            text = self.random.choice([
+                head + "Content-Length: 300000000000000\r\n\r\npart", head + "Content-Length: 65000\r\n\r\npart",
+                head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\npart",
+                head + "Peer-Address: \xff\xfe\r\nX-Papayabend-Request-Id: \xff\r\n\r\n",
+                head + "X-Long: " + "a" * 100000, "\x16\x03\x01\x02\xff" * 50])
+            try:
+                _, writer = await asyncio.wait_for(asyncio.open_connection(gateway["ip"], port), 1)
+            except (OSError, asyncio.TimeoutError):
+                continue
+            writer.write(text.encode("latin-1"))
+            await asyncio.sleep(self.random.uniform(0, 0.2))
+            writer.transport.abort()
+
+    async def send_wrong_datagrams(self):
+        """Sends datagrams of odd lengths, counts and bytes to a host's port for other hosts."""
+        gateway = self.random.choice(self.gateways)
+        heads = [b"\x9b\xff\xff\xff\xff\xff\xff\xff\xfe", b"\x5b\x7f\xff\xff\xff\xff\xff\xff\xff",
+                 b"\x9f" * 1000, b"\x81" * 1000, b"\x85\x81\x8d", b""]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for head in heads:
+                noise = bytes(self.random.randrange(256) for _ in range(self.random.randint(0, 300)))
+                sender.sendto(head + noise, (gateway["ip"], PORTS["peers"]))
+
     async def run(self):
         # Connections of the stand-ins are cut in the middle of their work, which asyncio would report.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
@@ -564,7 +615,7 @@
             self.ends = self.now() + self.options.seconds
             callers = [self.caller(n) for n in range(self.options.callers)]
             try:
-                await asyncio.gather(self.disturb(), *callers)
+                await asyncio.gather(self.disturb(), self.send_wrong_bytes(), *callers)
                 await asyncio.sleep(0.5)
                 self.check_budget()
                 self.check_crashing()
@@ -576,6 +627,7 @@
                 self.keep_logs(folder)
 
     async def end(self):
+        self.has_ended = True
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -602,6 +654,7 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--planned", action="store_true", help="planned work only; no answer may be cut")
+    parser.add_argument("--wrong-bytes", action="store_true", help="upstreams, clients and peers also send wrong bytes; no request ends upstreams")
     parser.add_argument("--slack", type=float, default=1.0,
                         help="seconds added to bounds for the scheduling of some dozen processes on one machine")
     parser.add_argument("--logs", default="/tmp", help="folder for the logs of a run that broke a promise")
--- a/Tests/soak/standins.py
+++ b/Tests/soak/standins.py
@@ -28,6 +28,23 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def wrong_answer(answer, random):
+    """Returns bytes that are no proper answer: odd lengths, numbers and framings, or noise."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    lines = [line for line in head.split(b"\r\n") if not line.startswith(b"Content-Length")]
+    length = random.choice([b"300000000000000", b"4000000000000000000", b"18446744073709551615", b"16777000", b"-1"])
+    size = random.choice([b"110d9316ec000", b"ffffffffffffffff", b"-1", b"xyz"])
+    return random.choice([
+        b"\r\n".join(lines + [b"Content-Length: " + length, b"", body]),
+        b"\r\n".join(lines + [b"Content-Length: " + length, b"", body]),
+        b"\r\n".join(lines + [b"Transfer-Encoding: chunked", b"", size, body]),
+        b"\r\n".join(lines + [b"Keep-Alive: timeout=18446744073709551615", b"Retry-After: 1e999",
+                              b"Content-Length: %d" % len(body), b"", body]),
+        b"\r\n".join(lines + [b"X-Long: "]) + b"a" * 100000,
+        bytes(random.randrange(256) for _ in range(200)),
+    ])
+
+
 class Store:
     """The configuration store: keys with revisions, lists, watches, lost history."""
 
@@ -100,6 +117,7 @@
         self.work = 0.01
         self.lose = 0.0
         self.extra = 0.0
+        self.spoil = 0.0
         self.draining_since = None
         self.limit = None
         self.arrived_at = collections.deque()
@@ -153,6 +171,10 @@
                 if chance < self.lose:
                     writer.transport.abort()
                     return
+                if self.spoil and self.world.random.random() < self.spoil:
+                    writer.write(wrong_answer(answer, self.world.random))
+                    await writer.drain()
+                    continue
                 writer.write(answer)
                 await writer.drain()
                 if chance > 1 - self.extra:
