dispatch: Keep attempts off the connections of earlier ones of their request

Cause: an upstream may repeat an answer at the point where the next one is expected, and the id that tells answers apart is that of the request, which all its attempts share. An order that was rejected and came back to the same upstream was mostly sent on the connection that had carried the rejection, and the repetition counted as proof that the new attempt had not run. Ruled out: the pause before it comes back (not needed) and other connections (the copy comes on the one of its attempt).

Change: dispatch/ConnectionChoice picks the connection of an attempt and leaves out those of earlier attempts of the request, for orders, requests that may be repeated and shards alike. After an answer without an id the connection is closed. Attempts that cannot use the idle connections no longer hold up others that can.

--- a/Source/papayabend/gateway/Attempt.h
+++ b/Source/papayabend/gateway/Attempt.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace papayabend::gateway {
 
@@ -18,6 +19,8 @@
     bool isHead { false };
     /** The request cannot be retried, so it is not sent on a connection that the peer may be about to close. */
     bool needsFreshConnection { false };
+    /** Numbers of the connections on which earlier attempts of the request were sent; it is not sent on these. */
+    std::vector<uint64_t> usedConnections;
     base::TimePoint createdAt {};
     base::TimePoint sentAt {}; /**< Default value until the request is handed to a connection. */
     bool isEnded { false };
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -210,6 +210,7 @@
     attempt->requestId = m_id;
     attempt->isHead = m_method == "HEAD";
     attempt->needsFreshConnection = !policy().isIdempotent;
+    attempt->usedConnections = subrequest.usedConnections;
     attempt->createdAt = base::BootClock::now();
     auto self = shared_from_this();
     auto index = static_cast<size_t>(&subrequest - m_subrequests.data());
@@ -239,6 +240,8 @@
 {
     ++subrequest.history.sent;
     subrequest.history.lastSentAt = attempt.sentAt;
+    if (auto connection = attempt.connection.lock())
+        subrequest.usedConnections.push_back(connection->number());
     m_state.metrics.attemptWaited(attempt.sentAt - attempt.createdAt);
     if (!m_isStartingAttempts)
         armTimer();
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -51,6 +51,7 @@
         dispatch::SubrequestHistory history;
         std::vector<std::shared_ptr<Attempt>> attempts; /**< Attempts that have not ended. */
         std::vector<std::string> tried; /**< Ids of upstreams that are not chosen again. */
+        std::vector<uint64_t> usedConnections; /**< Numbers of the connections on which attempts were sent. */
         size_t usable { 0 }; /**< Usable upstreams of the service when one was last chosen. */
         HttpResponse answer;
         std::string signature;
--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -45,6 +45,12 @@
         set(TCP_KEEPCNT, maxProbes);
     }
 
+    uint64_t nextConnectionNumber()
+    {
+        static uint64_t last = 0;
+        return ++last;
+    }
+
     /** Returns the seconds of a Keep-Alive field such as "timeout=5, max=100". */
     std::optional<uint64_t> keepAliveSeconds(std::string_view field)
     {
@@ -60,7 +66,8 @@
 
 HttpConnection::HttpConnection(
     asio::io_context& io, std::shared_ptr<ReceiveBudget> budget, std::shared_ptr<MessageFaults> faults)
-    : m_socket(io)
+    : m_number(nextConnectionNumber())
+    , m_socket(io)
     , m_budget(std::move(budget))
     , m_faults(faults ? std::move(faults) : std::make_shared<MessageFaults>())
 {
@@ -229,10 +236,12 @@
 {
     if (m_idName.empty())
         return true;
-    auto it = m_parser->get().find(toBeast(m_idName));
-    return it == m_parser->get().end() || toView(it->value()) == m_id;
+    auto [first, end] = m_parser->get().equal_range(toBeast(m_idName));
+    return std::all_of(first, end, [this](const auto& it) { return toView(it.value()) == m_id; });
 }
 
+bool HttpConnection::lacksId() const { return !m_idName.empty() && m_parser->get().count(toBeast(m_idName)) == 0; }
+
 bool HttpConnection::completeAnswer()
 {
     auto isInterim = m_parser->get().result_int() < 200;
@@ -241,7 +250,7 @@
         newParser();
         return true;
     }
-    auto keepsAlive = m_parser->keep_alive() && m_isWritten && m_input.empty() && !m_closesAfterAnswer;
+    auto keepsAlive = m_parser->keep_alive() && m_isWritten && m_input.empty() && !m_closesAfterAnswer && !lacksId();
     CallResult result;
     result.end = CallEnd::Answered;
     result.answer = m_parser->release();
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -65,7 +65,10 @@
     /** Sends \a request on an idle connection. \a idName and \a id: name and value of the field with
      * the request id, or empty if there is none.
      *
-     * An answer that has this field with another value belongs to an earlier request and is skipped.
+     * An answer that has this field with another value belongs to an earlier request and is skipped. After an answer
+     * that should have the field and lacks it, the connection is closed: a repetition of it could not be told from the
+     * answer to the next request. A request must not be sent on a connection on which another one with the same id was
+     * sent.
      */
     void send(std::string request, std::string idName, std::string id, bool isHead, Done done);
 
@@ -87,6 +90,8 @@
     base::TimePoint idleSince() const { return m_idleSince; }
     /** Bytes received since the newest request was sent. */
     uint64_t receivedBytes() const { return m_receivedBytes; }
+    /** Tells the connections of this process apart; never used again. */
+    uint64_t number() const { return m_number; }
     /** Returns whether the peer has answered a request on this connection. */
     bool hasAnswered() const { return m_hasAnswered; }
 
@@ -106,6 +111,7 @@
     /** Handles a complete answer; returns true if it was skipped and parsing continues. */
     bool completeAnswer();
     bool isForThisRequest() const;
+    bool lacksId() const;
     /** Handles the end of the input, which completes an answer without a length. */
     void inputEnded(const boost::system::error_code&);
     void finish(CallResult);
@@ -113,6 +119,7 @@
     void close(std::string_view reason, bool isEndedByPeer);
     void written();
 
+    uint64_t m_number;
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<ReceiveBudget> m_budget;
     std::shared_ptr<MessageFaults> m_faults;
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -19,8 +19,6 @@
     constexpr std::chrono::milliseconds resetWaitTime { 12 };
     // Connections per upstream on which it has not answered a request yet; more are not opened.
     constexpr size_t maxUnansweredConnections = 2;
-    // A request that cannot be retried is sent on a connection that was used this recently, or on a new one.
-    constexpr base::Duration freshTime { std::chrono::milliseconds(900) };
 
 }
 
@@ -192,35 +190,40 @@
     dispatch::addRefusedConnection(upstream.load, static_cast<uint32_t>(others), base::BootClock::now());
 }
 
-std::shared_ptr<HttpConnection> UpstreamPool::idleConnection(const Upstream& upstream, bool fresh)
+std::shared_ptr<HttpConnection> UpstreamPool::idleConnectionFor(const Upstream& upstream, const Attempt& attempt)
 {
-    auto now = base::BootClock::now();
-    std::shared_ptr<HttpConnection> best;
-    for (const auto& connection : upstream.connections) {
-        if (!connection->isIdle() || connection->idleUntil().value_or(now) < now)
-            continue;
-        if (fresh && now - connection->idleSince() > freshTime)
-            continue;
-        // Prefers the connection that was used last, so that surplus connections reach their idle limit.
-        if (!best || connection->idleSince() > best->idleSince())
-            best = connection;
-    }
+    std::vector<dispatch::ConnectionState> states;
+    states.reserve(upstream.connections.size());
+    std::ranges::transform(upstream.connections, std::back_inserter(states), [](const auto& it) {
+        return dispatch::ConnectionState { it->number(), it->isIdle(), it->idleSince(), it->idleUntil() };
+    });
+    dispatch::ConnectionNeeds needs { attempt.needsFreshConnection, attempt.usedConnections };
+    auto n = dispatch::chooseConnection(states, needs, base::BootClock::now());
+    if (!n)
+        return nullptr;
+    auto connection = upstream.connections[*n];
     // Of a request that cannot be retried, nobody would know whether it has run if the connection had ended.
-    if (best && fresh && !best->confirmIdle())
-        return idleConnection(upstream, fresh);
-    return best;
+    if (attempt.needsFreshConnection && !connection->confirmIdle())
+        return idleConnectionFor(upstream, attempt);
+    return connection;
 }
 
 void UpstreamPool::serveQueue(Upstream& upstream)
 {
     std::erase_if(upstream.queue, [](const auto& it) { return it->isEnded; });
-    while (!upstream.queue.empty()) {
-        auto attempt = upstream.queue.front();
-        auto connection = idleConnection(upstream, attempt->needsFreshConnection);
-        if (!connection)
-            break;
-        upstream.queue.pop_front();
+    // An attempt that cannot use the idle connections does not keep later ones from them.
+    for (size_t n = 0; n < upstream.queue.size();) {
+        auto attempt = upstream.queue[n];
+        auto connection = idleConnectionFor(upstream, *attempt);
+        if (!connection) {
+            ++n;
+            continue;
+        }
+        upstream.queue.erase(upstream.queue.begin() + static_cast<std::ptrdiff_t>(n));
         sendAttempt(upstream, connection, attempt);
+        // Sending may have ended attempts and changed the queue.
+        std::erase_if(upstream.queue, [](const auto& it) { return it->isEnded; });
+        n = 0;
     }
     refreshCounts(upstream);
     // At the connection limit, an idle connection that is not fresh enough is closed to make room for a new one.
@@ -233,7 +236,7 @@
     }
     if (upstream.connecting < upstream.queue.size() && mayConnect(upstream))
         connect(upstream);
-    else if (!upstream.queue.empty() && upstream.load.openConnections == 0)
+    else if (!upstream.queue.empty() && upstream.load.openConnections == upstream.load.idleConnections)
         failQueue(upstream, "no connection is open, and the upstream has refused connections recently");
 }
 
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/discovery/UpstreamDirectory.h"
 #include "papayabend/dispatch/ChooseUpstream.h"
+#include "papayabend/dispatch/ConnectionChoice.h"
 #include "papayabend/gateway/Attempt.h"
 
 #include <boost/asio/io_context.hpp>
@@ -92,8 +93,8 @@
         const std::string& id, const std::shared_ptr<HttpConnection>&, const std::function<void()>& accepted);
     /** Sends queued attempts on idle connections and opens a connection for those that remain. */
     void serveQueue(Upstream&);
-    /** Returns the most recently used idle connection, if any. \a fresh: only one that was used within freshTime. */
-    std::shared_ptr<HttpConnection> idleConnection(const Upstream&, bool fresh);
+    /** Returns the idle connection on which to send the attempt, if any. */
+    std::shared_ptr<HttpConnection> idleConnectionFor(const Upstream&, const Attempt&);
     void sendAttempt(Upstream&, const std::shared_ptr<HttpConnection>&, const std::shared_ptr<Attempt>&);
     void attemptEnded(const std::string& id, const std::shared_ptr<Attempt>&, CallResult);
     /** Ends all queued attempts as NotSent. */
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -394,6 +394,29 @@
     STRCMP_EQUAL("whole body", answer->body.c_str());
 }
 
+// Guards against taking the repetition of a rejection for the answer to the next attempt, which runs: an order would
+// run twice, or be refused although it runs.
+TEST(Exchange, RepeatedRejectionOfAnOrderProvesNothing)
+{
+    auto& upstream = addUpstream("desk", Behaviour::RefuseOnceAndRepeat);
+    addRoute("/order/", false);
+    publish();
+    begin("/order/1");
+    CHECK_EQUAL(200U, runToAnswer());
+    LONGS_EQUAL(2, upstream.requests.size());
+}
+
+// Guards against the same for a request that may be repeated, which would run on more upstreams than its route allows.
+TEST(Exchange, RepeatedRejectionDoesNotAddAttempts)
+{
+    auto& upstream = addUpstream("desk", Behaviour::RefuseOnceAndRepeat);
+    addRoute("/look/", true);
+    publish();
+    begin("/look/1");
+    CHECK_EQUAL(200U, runToAnswer());
+    LONGS_EQUAL(2, upstream.requests.size());
+}
+
 // Guards against an idempotent request that waits for a slow upstream although another upstream is idle.
 TEST(Exchange, IdempotentRequestIsHedged)
 {
--- a/Tests/gateway/HttpCallTest.cpp
+++ b/Tests/gateway/HttpCallTest.cpp
@@ -279,3 +279,15 @@
     call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nKeep-Alive: timeout=18446744073709551615\r\nContent-Length: 0\r\n\r\n");
     CHECK_TRUE(connection->idleUntil().value() > base::BootClock::now());
 }
+
+// Guards against an answer without the id of its request, of which a repetition would be taken for the answer to the
+// next request on the connection.
+TEST(HttpCall, AnswerWithoutAnIdClosesItsConnection)
+{
+    CHECK_TRUE(call("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").end == CallEnd::Answered);
+    CHECK_FALSE(connection->isOpen());
+    reconnect();
+    auto result = call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold"
+                       "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nnew");
+    STRCMP_EQUAL("new", result.answer.body().c_str());
+}
--- a/Tests/gateway/ScriptedUpstream.h
+++ b/Tests/gateway/ScriptedUpstream.h
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 /** Upstream on a loopback port whose behaviour a test sets. Records the header of each request that it receives. */
@@ -17,6 +18,9 @@
         ResetAfterAccept, /**< Resets a connection a few milliseconds after it was accepted. */
         ResetOnAccept, /**< Resets a connection without reading, as an upstream at its limit. */
         Refuse, /**< Answers that it has not run the request. */
+        /** Refuses the first request and answers the others; on the connection of the first it repeats the refusal when
+         * the next request has arrived there. */
+        RefuseOnceAndRepeat,
     };
 
     explicit ScriptedUpstream(boost::asio::io_context& context)
@@ -59,6 +63,7 @@
                 if (ec)
                     return;
                 requests.push_back(buf->substr(0, n));
+                id = idOf(requests.back());
                 if (delay.count() > 0)
                     reactAfterDelay(socket, delay);
                 else
@@ -66,6 +71,18 @@
             });
     }
 
+    /** Returns the header line with the id of a request; upstreams echo it. */
+    static std::string idOf(const std::string& request)
+    {
+        auto at = request.find("X-Id: ");
+        return at == std::string::npos ? "" : request.substr(at, request.find("\r\n", at) + 2 - at);
+    }
+
+    std::string refusal() const
+    {
+        return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + id + fields + "Content-Length: 0\r\n\r\n";
+    }
+
     void react(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket)
     {
         boost::system::error_code ec;
@@ -88,16 +105,23 @@
             return;
         case Behaviour::Answer:
             boost::asio::write(*socket,
-                boost::asio::buffer("HTTP/1.1 200 OK\r\nX-Proof: " + signature + "\r\n" + fields
+                boost::asio::buffer("HTTP/1.1 200 OK\r\nX-Proof: " + signature + "\r\n" + id + fields
                     + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body),
                 ec);
             break;
         case Behaviour::Refuse:
-            boost::asio::write(*socket,
-                boost::asio::buffer(
-                    "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + fields + "Content-Length: 0\r\n\r\n"),
-                ec);
+            boost::asio::write(*socket, boost::asio::buffer(refusal()), ec);
             break;
+        case Behaviour::RefuseOnceAndRepeat:
+            if (requests.size() == 1) {
+                refusedSocket = socket;
+                boost::asio::write(*socket, boost::asio::buffer(refusal()), ec);
+                break;
+            }
+            if (socket == std::exchange(refusedSocket, nullptr))
+                boost::asio::write(*socket, boost::asio::buffer(refusal()), ec);
+            behaviour = Behaviour::Answer;
+            return reactAfterDelay(socket, std::chrono::milliseconds(20));
         }
         serve(socket);
     }
@@ -118,6 +142,8 @@
     std::chrono::milliseconds delay { 0 }; /**< From a request to the reaction to it. */
     std::string signature { "proof" };
     std::string body { "whole body" };
+    std::string id; /**< Header line with the id of the newest request. */
+    std::shared_ptr<boost::asio::ip::tcp::socket> refusedSocket;
     std::string fields; /**< Further header lines of its answers, each with CRLF. */
     std::vector<std::string> requests; /**< Headers of the received requests. */
     /** Connections on which a request was awaited, once for each request. */
--- a/Tests/gateway/UpstreamPoolTest.cpp
+++ b/Tests/gateway/UpstreamPoolTest.cpp
@@ -25,13 +25,15 @@
         pool->setMaxConnections("u", 2);
     }
 
-    std::shared_ptr<Attempt> submit(bool needsFreshConnection)
+    std::shared_ptr<Attempt> submit(bool needsFreshConnection, std::vector<uint64_t> usedConnections = {})
     {
         result.reset();
         auto attempt = std::make_shared<Attempt>();
         attempt->upstream = "u";
         attempt->needsFreshConnection = needsFreshConnection;
-        attempt->buildRequest = [](const std::string&) { return "GET / HTTP/1.1\r\n\r\n"; };
+        attempt->usedConnections = std::move(usedConnections);
+        attempt->buildRequest = [](const std::string&) { return "GET / HTTP/1.1\r\nX-Id: 7\r\n\r\n"; };
+        attempt->requestId = "7";
         attempt->onEnd = [this](const Attempt&, CallResult it) { result = std::move(it); };
         pool->submit(record, attempt);
         return attempt;
@@ -154,3 +156,24 @@
     CHECK_TRUE(result && result->end == CallEnd::Answered);
     LONGS_EQUAL(2, upstream.acceptedConnections);
 }
+
+// Guards against an attempt on the connection of an earlier attempt of its request, whose answer may be repeated there,
+// also if no other connection is allowed, and against holding up the attempts of other requests meanwhile.
+TEST(UpstreamPool, AttemptAvoidsTheConnectionsOfEarlierOnes)
+{
+    pool->setMaxConnections("u", 1);
+    auto first = submit(false);
+    runToEnd(*first);
+    auto used = first->connection.lock()->number();
+    auto excluded = submit(false, { used });
+    runToEnd(*excluded);
+    CHECK_TRUE(result && result->end == CallEnd::Answered);
+    LONGS_EQUAL(2, upstream.acceptedConnections);
+    pool->setMaxConnections("u", 2);
+    auto current = excluded->connection.lock()->number();
+    auto waiting = submit(false, { current });
+    auto other = submit(false);
+    CHECK_TRUE(other->isSent() && !waiting->isSent());
+    runToEnd(*waiting);
+    LONGS_EQUAL(3, upstream.acceptedConnections);
+}
--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -551,11 +551,13 @@
         return [kill, pause, silence, resets, lose, extra, slow, store_down, store_silent, compact, forged]
 
     async def send_wrong_bytes(self):
-        """Lets upstreams, clients and peers send wrong bytes all the time."""
+        """Lets upstreams, clients and peers send wrong bytes all the time, and upstreams repeat answers."""
         while self.options.wrong_bytes and self.now() < self.ends - 2:
             await asyncio.sleep(self.random.uniform(0.05, 0.5))
             upstream = self.random.choice(list(self.upstreams.values()))
             upstream.spoil = 0.05 if upstream.spoil == 0 else 0
+            upstream = self.random.choice(list(self.upstreams.values()))
+            upstream.reject, upstream.repeat = (0.4, 0.5) if upstream.repeat == 0 else (0, 0)
             self.calm_since = max(self.calm_since, self.now())
             await self.send_wrong_requests()
             await self.send_wrong_datagrams()
--- a/Tests/soak/standins.py
+++ b/Tests/soak/standins.py
@@ -118,6 +118,8 @@
         self.lose = 0.0
         self.extra = 0.0
         self.spoil = 0.0
+        self.reject = 0.0
+        self.repeat = 0.0
         self.draining_since = None
         self.limit = None
         self.arrived_at = collections.deque()
@@ -143,6 +145,8 @@
         if headers.get("x-papayabend-expect-instance") not in (None, self.uid):
             return message("HTTP/1.1 421 X", {**echo, "X-Papayabend-Instance-Id": self.uid})
         pause = self.pauses_until - asyncio.get_running_loop().time()
+        if self.reject and self.world.random.random() < self.reject:
+            return message("HTTP/1.1 503 X", {**echo, "X-Papayabend-Not-Executed": "1"})
         if self.queue >= 12 or pause > 0:
             return message("HTTP/1.1 503 X", {**echo, "X-Papayabend-Not-Executed": "1",
                                              "Retry-After": "%.3f" % max(pause, 0.1)})
@@ -163,9 +167,13 @@
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
+        repeated = None
         try:
             while True:
                 first, headers, _ = await read_message(reader)
+                if repeated:
+                    writer.write(repeated)
+                    repeated = None
                 answer = await self.answer(first, headers)
                 chance = self.world.random.random()
                 if chance < self.lose:
@@ -177,6 +185,8 @@
                     continue
                 writer.write(answer)
                 await writer.drain()
+                if self.repeat and self.world.random.random() < self.repeat:
+                    repeated = answer
                 if chance > 1 - self.extra:
                     # The later it comes, the likelier the next request is waiting.
                     await asyncio.sleep(self.world.random.uniform(0, 0.04))
