fleet: Name strong hosts to callers, for longer while the fleet is calm

Callers ask for addresses before almost each request, mostly on a weak host, and a third of the requests go to a weak host that is named only to reach three hosts a failure domain.

Without these settings answers and stops are as before.

--- a/Source/papayabend/fleet/FleetView.h
+++ b/Source/papayabend/fleet/FleetView.h
@@ -36,6 +36,8 @@
     uint32_t capacity { 1 }; /**< Processor time available to it, in thousandths of a core. */
     uint32_t load { 0 }; /**< Attempts per second that it sends to upstreams, see LoadEstimate. */
     uint32_t demand { 0 }; /**< First attempts per second that its callers ask for, also those that it refuses. */
+    /** Milliseconds since the host saw a change among those that it hears directly, see FleetCalm; 0: not stated. */
+    uint32_t changeAgeMs { 0 };
 };
 
 /** \struct Member
--- a/Source/papayabend/fleet/Roles.cpp
+++ b/Source/papayabend/fleet/Roles.cpp
@@ -4,9 +4,10 @@
 
 #include <algorithm>
 #include <bit>
-#include <numeric>
-#include <ranges>
+#include <map>
 #include <set>
+#include <span>
+#include <tuple>
 
 namespace papayabend::fleet {
 
@@ -33,10 +34,20 @@
         return heartbeats;
     }
 
+    constexpr uint64_t thousandthsPerCore = 1000;
+    // A single strong host is not enough: its loss would leave callers without a host.
+    constexpr size_t minStrongHosts = 2;
+
+    // A host with two thirds of the capacity of the strongest one is strong. A short job takes half as long again
+    // there, which a latency objective of 60 ms still allows.
+    bool isStrong(const Heartbeat& heartbeat, uint32_t strongest)
+    {
+        return uint64_t { 3 } * heartbeat.capacity >= uint64_t { 2 } * strongest;
+    }
+
     /** Returns how many of \a heartbeats, from the first one on, are needed to carry \a load attempts per second. */
     size_t neededHosts(const std::vector<const Heartbeat*>& heartbeats, const ServingSettings& settings, uint64_t load)
     {
-        constexpr uint64_t thousandthsPerCore = 1000;
         size_t count = 0;
         uint64_t carried = 0;
         while (count < heartbeats.size() && (count < settings.hostsPerDomain || carried < load * thousandthsPerCore))
@@ -44,6 +55,89 @@
         return count;
     }
 
+    /** Returns the attempts per second that \a hosts can carry together if callers choose evenly among them. */
+    uint64_t evenCapacity(std::span<const Heartbeat* const> hosts, const ServingSettings& settings)
+    {
+        if (hosts.empty())
+            return 0;
+        auto weakest = std::ranges::min(hosts, {}, &Heartbeat::capacity)->capacity;
+        return hosts.size() * weakest * settings.attemptsPerCore / thousandthsPerCore;
+    }
+
+    /** Returns the smallest number of \a hosts, from the first one on and at least \a minimum, that can carry \a load;
+     * if there is none, the number that can carry most. */
+    size_t fewestHosts(
+        std::span<const Heartbeat* const> hosts, size_t minimum, uint64_t load, const ServingSettings& settings)
+    {
+        auto best = std::min(minimum, hosts.size());
+        uint64_t most = 0;
+        // The hosts are sorted by capacity only in classes, so the weakest is kept.
+        auto weakest = UINT32_MAX;
+        for (size_t n = 0; n < hosts.size(); ++n) {
+            weakest = std::min(weakest, hosts[n]->capacity);
+            auto carried = (n + 1) * weakest * settings.attemptsPerCore / thousandthsPerCore;
+            if (n + 1 < minimum || carried <= most)
+                continue;
+            best = n + 1;
+            most = carried;
+            if (carried >= load)
+                break;
+        }
+        return best;
+    }
+
+    /** \struct DomainHosts
+     * \brief Ready hosts of a failure domain in the order in which they serve, and the load of the fleet.
+     */
+    struct DomainHosts {
+        std::vector<const Heartbeat*> ready;
+        size_t strong { 0 }; /**< Number of strong ones, which are first; set only with prefersStrongHosts. */
+        uint64_t load { 0 }; /**< Of the failure domain, in attempts per second. */
+        uint64_t lossLoad { 0 }; /**< Part of the load of another failure domain that comes here if that one is lost. */
+    };
+
+    DomainHosts hostsOf(
+        const FleetView& fleet, std::string_view failureDomain, const ServingSettings& settings, base::TimePoint now)
+    {
+        DomainHosts hosts;
+        std::map<std::string_view, uint64_t> otherLoads;
+        uint32_t strongest = 0;
+        for (const auto* heartbeat : fleet.liveHeartbeats(now)) {
+            if (heartbeat->failureDomain != failureDomain) {
+                if (settings.prefersStrongHosts)
+                    otherLoads[heartbeat->failureDomain] += heartbeat->load;
+                continue;
+            }
+            hosts.load += heartbeat->load;
+            if (heartbeat->stage != HostStage::Ready)
+                continue;
+            hosts.ready.push_back(heartbeat);
+            strongest = std::max(strongest, heartbeat->capacity);
+        }
+        if (!otherLoads.empty())
+            hosts.lossLoad = std::ranges::max_element(otherLoads, {}, [](const auto& it) { return it.second; })->second
+                / otherLoads.size();
+        auto rank = [&](const Heartbeat& heartbeat) {
+            return std::tuple(settings.prefersStrongHosts && isStrong(heartbeat, strongest),
+                std::bit_width(heartbeat.capacity), base::rendezvousScore(servingKey, heartbeat.name));
+        };
+        std::ranges::sort(hosts.ready, [&](const auto* a, const auto* b) { return rank(*a) > rank(*b); });
+        if (settings.prefersStrongHosts)
+            hosts.strong = static_cast<size_t>(
+                std::ranges::count_if(hosts.ready, [&](const auto* it) { return isStrong(*it, strongest); }));
+        return hosts;
+    }
+
+    size_t servingHostsOf(const DomainHosts& hosts, const ServingSettings& settings)
+    {
+        if (!settings.prefersStrongHosts || hosts.strong == hosts.ready.size())
+            return neededHosts(hosts.ready, settings, hosts.load);
+        auto strong = std::span(hosts.ready).first(hosts.strong);
+        if (strong.size() >= minStrongHosts && evenCapacity(strong, settings) >= hosts.load)
+            return fewestHosts(strong, settings.hostsPerDomain, hosts.load + hosts.lossLoad, settings);
+        return fewestHosts(hosts.ready, settings.hostsPerDomain, hosts.load, settings);
+    }
+
 }
 
 bool isReader(const FleetView& fleet, base::TimePoint now)
@@ -82,17 +176,17 @@
 std::vector<const Heartbeat*> servingHosts(
     const FleetView& fleet, std::string_view failureDomain, const ServingSettings& settings, base::TimePoint now)
 {
-    auto heartbeats = fleet.liveHeartbeats(now);
-    std::erase_if(heartbeats, [failureDomain](const auto* it) { return it->failureDomain != failureDomain; });
-    auto load = std::accumulate(heartbeats.begin(), heartbeats.end(), uint64_t { 0 },
-        [](uint64_t sum, const auto* it) { return sum + it->load; });
-    std::erase_if(heartbeats, [](const auto* it) { return it->stage != HostStage::Ready; });
-    auto rank = [](const Heartbeat& heartbeat) {
-        return std::pair(std::bit_width(heartbeat.capacity), base::rendezvousScore(servingKey, heartbeat.name));
-    };
-    std::ranges::sort(heartbeats, [&](const auto* a, const auto* b) { return rank(*a) > rank(*b); });
-    heartbeats.resize(std::min(heartbeats.size(), neededHosts(heartbeats, settings, load)));
-    return heartbeats;
+    auto hosts = hostsOf(fleet, failureDomain, settings, now);
+    hosts.ready.resize(servingHostsOf(hosts, settings));
+    return hosts.ready;
+}
+
+DomainRoom domainRoom(
+    const FleetView& fleet, std::string_view failureDomain, const ServingSettings& settings, base::TimePoint now)
+{
+    auto hosts = hostsOf(fleet, failureDomain, settings, now);
+    auto count = fewestHosts(hosts.ready, 1, UINT64_MAX, settings);
+    return { hosts.load, evenCapacity(std::span(hosts.ready).first(count), settings) };
 }
 
 size_t servingCount(const FleetView& fleet, const ServingSettings& settings, base::TimePoint now)
--- a/Source/papayabend/fleet/Roles.h
+++ b/Source/papayabend/fleet/Roles.h
@@ -28,13 +28,31 @@
 struct ServingSettings {
     uint32_t hostsPerDomain { 3 }; /**< Minimum for each failure domain. */
     uint32_t attemptsPerCore { 6000 }; /**< Attempts per second that a core can carry; more load needs more hosts. */
+    /** Weak hosts serve only if the strong ones of their failure domain do not suffice. */
+    bool prefersStrongHosts { false };
 };
 
+/** \struct DomainRoom
+ * \brief Load of a failure domain and what its ready hosts can carry, in attempts per second.
+ */
+struct DomainRoom {
+    uint64_t load { 0 };
+    uint64_t capacity { 0 };
+    bool hasRoom() const { return load < capacity; }
+};
+
+/** Returns the room of \a failureDomain if callers choose evenly among its serving hosts. */
+DomainRoom domainRoom(const FleetView&, std::string_view failureDomain, const ServingSettings&, base::TimePoint now);
+
 /** Returns the hosts of \a failureDomain that callers are sent to; hosts with equal views of the fleet agree on them.
  *
  * These are ready hosts, as many as the load of the failure domain needs: with fewer hosts, each has more connections
  * to an upstream and observes more of its load. Hosts with more capacity are preferred, in classes of a factor of two.
  * Inside a class a hash decides, so that the loss of a host does not replace any other one.
+ *
+ * With prefersStrongHosts, and if the failure domain has weak hosts, these are as few of its strong hosts as can carry
+ * its load and an equal part of the load of another failure domain that is lost. Weak hosts are included only if the
+ * strong ones cannot carry the present load, or if there are fewer than two of them.
  */
 std::vector<const Heartbeat*> servingHosts(
     const FleetView&, std::string_view failureDomain, const ServingSettings&, base::TimePoint now);
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -26,8 +26,6 @@
     constexpr base::Duration joinTimeout { std::chrono::milliseconds(200) };
     // Most addresses in one entry answer.
     constexpr size_t maxEntryAddresses = 64;
-    // Callers cache an entry answer for up to three times its time to live.
-    constexpr double entryCacheFactor = 3;
     constexpr base::Duration stopPollInterval { std::chrono::milliseconds(50) };
     // Open requests are ended this long before the end of the grace time.
     constexpr base::Duration stopMargin { std::chrono::milliseconds(400) };
@@ -78,6 +76,8 @@
     , m_contentTransfers(std::make_shared<fleet::ContentTransfers>())
     , m_startedAt(base::BootClock::now())
 {
+    m_calm.changedAt = m_startedAt;
+    m_calm.seenChangeAt = m_startedAt;
     m_faults->setReport([this](std::string_view source, std::string_view reason) {
         logEvent("fault", LogFields().add("source", source).add("reason", reason), LineClass::Failure);
     });
@@ -149,14 +149,7 @@
     }
     if (address == listen.entry) {
         if (auto entryRequest = m_state.adapter.parseEntryRequest(target)) {
-            auto addresses = fleet::entryAddresses(m_state.fleet, entryRequest->failureDomain, servingSettings(),
-                maxEntryAddresses, base::BootClock::now());
-            auto seconds = std::chrono::duration<double>(m_state.settings.entryAnswers.timeToLiveSeconds);
-            Answer answer;
-            answer.status = addresses.empty() ? 503 : 200;
-            answer.fields = "Content-Type: application/json\r\n";
-            answer.body = m_state.adapter.entryAnswer(addresses, std::chrono::duration_cast<base::Duration>(seconds));
-            request->answer(answer);
+            request->answer(entryAnswer(entryRequest->failureDomain));
             return true;
         }
     }
@@ -186,6 +179,40 @@
 
 fleet::ServingSettings GatewayHost::servingSettings() const { return servingOf(m_state.settings.entryAnswers); }
 
+fleet::EntryValiditySettings GatewayHost::validitySettings() const
+{
+    return validityOf(m_state.settings.entryAnswers, m_state.settings.stop);
+}
+
+Answer GatewayHost::entryAnswer(const std::string& failureDomain)
+{
+    auto now = base::BootClock::now();
+    auto addresses = fleet::entryAddresses(m_state.fleet, failureDomain, servingSettings(), maxEntryAddresses, now);
+    auto timeToLive = fleet::entryTimeToLive(m_calm, validitySettings(), now);
+    ++m_entryAnswers;
+    m_calmEntryAnswers += timeToLive > validitySettings().timeToLive ? 1 : 0;
+    Answer answer;
+    answer.status = addresses.empty() ? 503 : 200;
+    answer.fields = "Content-Type: application/json\r\n";
+    answer.body = m_state.adapter.entryAnswer(addresses, timeToLive);
+    return answer;
+}
+
+void GatewayHost::updateCalm(base::TimePoint now)
+{
+    fleet::observe(m_calm, m_state.fleet, now);
+    m_state.fleet.self().changeAgeMs = fleet::changeAgeOf(m_calm, now);
+    auto isCalm = fleet::isCalm(m_calm, now);
+    auto validity = validitySettings();
+    if (isCalm != m_wasCalm && validity.calmTimeToLive > validity.timeToLive)
+        logEvent("entry",
+            LogFields()
+                .add("state", isCalm ? "calm" : "changing")
+                .add("timeToLiveMs", base::toMilliseconds(fleet::entryTimeToLive(m_calm, validity, now)))
+                .add("cause", m_calm.cause));
+    m_wasCalm = isCalm;
+}
+
 bool GatewayHost::isReady() const { return m_state.fleet.self().stage == fleet::HostStage::Ready; }
 
 void GatewayHost::updateStage()
@@ -214,6 +241,7 @@
         logEvent("lost", LogFields().add("dependency", "host").add("name", name));
     if (m_state.fleet.members().size() != before)
         updateUpstreamConnections();
+    updateCalm(now);
     m_state.contentConfirmedAt = std::max(m_state.contentConfirmedAt, m_storeReader.answeredAt());
     m_state.pool.sweep(m_state.budgetShare.isServing ? 1 : 0, now);
     fleet::observe(m_loadEstimate, m_state.pool.counters().attempts, now);
@@ -342,10 +370,8 @@
 void GatewayHost::stopWhenIdle()
 {
     auto now = base::BootClock::now();
-    auto cacheTime = std::chrono::duration<double>(m_state.settings.entryAnswers.timeToLiveSeconds * entryCacheFactor);
-    auto grace = std::chrono::duration<double>(m_state.settings.stop.graceSeconds);
-    auto entryAnswersExpireAt = m_stopAt + stopMargin - std::chrono::duration_cast<base::Duration>(grace)
-        + std::chrono::duration_cast<base::Duration>(cacheTime);
+    auto validity = validitySettings();
+    auto entryAnswersExpireAt = fleet::answersExpireAt(m_calm, validity, m_stopAt + stopMargin - validity.grace);
     auto& callers = listenerFor(m_state.settings.listen.callers);
     if (now >= m_stopAt) {
         endRequests();
@@ -410,6 +436,10 @@
     counter("pauses_total", m_pauseDetector.pauses());
     gauge("is_serving", fleet::isServing(m_state.fleet, servingSettings(), now) ? 1 : 0);
     gauge("serving_hosts", fleet::servingCount(m_state.fleet, servingSettings(), now));
+    gauge("entry_time_to_live_seconds",
+        std::chrono::duration<double>(fleet::entryTimeToLive(m_calm, validitySettings(), now)).count());
+    counter("entry_answers_total", m_entryAnswers);
+    counter("entry_answers_calm_total", m_calmEntryAnswers);
     gauge("attempts_per_second", m_state.fleet.self().load);
     gauge("table_version", m_state.table ? m_state.table->version : 0);
     counter("peer_messages_refused_total", m_peerLink.refusedMessages());
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -83,6 +83,11 @@
     /** Sends a heartbeat outside the regular interval, so that other hosts see a new stage or state immediately. */
     void sendHeartbeatNow();
     fleet::ServingSettings servingSettings() const;
+    fleet::EntryValiditySettings validitySettings() const;
+    /** Returns the answer to a question of a caller in \a failureDomain for the addresses to use. */
+    Answer entryAnswer(const std::string& failureDomain);
+    /** Records changes of the fleet that determine how long entry answers are valid, and logs them. */
+    void updateCalm(base::TimePoint now);
     /** Does the periodic work and schedules the next run. */
     void tick();
     void waitForSignal();
@@ -148,6 +153,10 @@
     fleet::PullState m_pullState;
     fleet::LoadEstimate m_loadEstimate;
     fleet::LoadEstimate m_demandEstimate;
+    fleet::FleetCalm m_calm;
+    bool m_wasCalm { false };
+    uint64_t m_entryAnswers { 0 };
+    uint64_t m_calmEntryAnswers { 0 }; /**< Those with the longer validity of a calm fleet. */
     base::TimePoint m_startedAt {};
     base::TimePoint m_stopAt {};
     base::TimePoint m_resumedAt {};
--- a/Source/papayabend/gateway/GatewaySettings.cpp
+++ b/Source/papayabend/gateway/GatewaySettings.cpp
@@ -2,6 +2,8 @@
 
 #include "papayabend/settings/DescribedFile.h"
 
+#include <algorithm>
+
 namespace papayabend::gateway {
 
 // The visit functions list the keys of each section for both reading and printing. They are static instead of in the
@@ -40,8 +42,10 @@
 static void visit(auto& keys, EntryAnswerSettings& answers)
 {
     keys.fraction("timeToLiveSeconds", answers.timeToLiveSeconds, 0.1, 600);
+    keys.fraction("calmTimeToLiveSeconds", answers.calmTimeToLiveSeconds, 0, 600);
     keys.number("hostsPerFailureDomain", answers.hostsPerFailureDomain, 2, 1000);
     keys.number("attemptsPerCore", answers.attemptsPerCore, 10, 1'000'000);
+    keys.flag("prefersStrongHosts", answers.prefersStrongHosts);
 }
 
 static void visit(auto& keys, TableSettings& table) { keys.text("file", table.file); }
@@ -95,7 +99,16 @@
 
 fleet::ServingSettings servingOf(const EntryAnswerSettings& answers)
 {
-    return { answers.hostsPerFailureDomain, answers.attemptsPerCore };
+    return { answers.hostsPerFailureDomain, answers.attemptsPerCore, answers.prefersStrongHosts };
+}
+
+fleet::EntryValiditySettings validityOf(const EntryAnswerSettings& answers, const StopSettings& stop)
+{
+    auto duration = [](double seconds) {
+        return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+    };
+    return { duration(answers.timeToLiveSeconds),
+        duration(std::max(answers.timeToLiveSeconds, answers.calmTimeToLiveSeconds)), duration(stop.graceSeconds) };
 }
 
 dispatch::RetryBudgetSettings budgetOf(const BudgetSettings& budget)
--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -3,6 +3,7 @@
 #include "papayabend/base/LastReason.h"
 #include "papayabend/base/Time.h"
 #include "papayabend/dispatch/RetryBudget.h"
+#include "papayabend/fleet/EntryValidity.h"
 #include "papayabend/fleet/Roles.h"
 #include "papayabend/table/Table.h"
 
@@ -71,9 +72,12 @@
  */
 struct EntryAnswerSettings {
     double timeToLiveSeconds { 1 };
+    /** Used while no host of the fleet starts, stops or is lost; 0: equal to timeToLiveSeconds. */
+    double calmTimeToLiveSeconds { 0 };
     uint32_t hostsPerFailureDomain { 3 }; /**< Least number of hosts that callers are sent to. */
     /** Attempts per second and core above which callers are sent to one more host. */
     uint32_t attemptsPerCore { 6000 };
+    bool prefersStrongHosts { false }; /**< Weak hosts are named only if the strong ones do not suffice. */
 };
 
 /** \struct TableSettings
@@ -123,6 +127,9 @@
 /** Converts to the settings that choose the hosts to which callers are sent. */
 fleet::ServingSettings servingOf(const EntryAnswerSettings&);
 
+/** Converts to the settings that determine how long an entry answer is valid. */
+fleet::EntryValiditySettings validityOf(const EntryAnswerSettings&, const StopSettings&);
+
 /** Converts to the settings of the retry budget. */
 dispatch::RetryBudgetSettings budgetOf(const BudgetSettings&);
 
--- a/Tests/fleet/RolesTest.cpp
+++ b/Tests/fleet/RolesTest.cpp
@@ -151,3 +151,59 @@
         heartbeat.load = 1'000'000;
     LONGS_EQUAL(40, servingCount(viewOf(0), settings, now));
 }
+
+// Guards against short jobs on weak hosts that are named merely to reach the least number of hosts.
+TEST(Roles, TwoStrongHostsServeWithoutWeakOnes)
+{
+    fill(60, 3);
+    for (size_t n = 0; n < heartbeats.size(); ++n)
+        heartbeats[n].capacity = n < 6 ? 500 : 120;
+    ServingSettings settings { 3, 6000, true };
+    LONGS_EQUAL(6, servingCount(viewOf(0), settings, now));
+    LONGS_EQUAL(9, servingCount(viewOf(0), { 3, 6000 }, now));
+    for (const auto* heartbeat : servingHosts(viewOf(9), "d1", settings, now))
+        LONGS_EQUAL(500, heartbeat->capacity);
+    heartbeats[1].stage = HostStage::Leaving;
+    LONGS_EQUAL(3, servingHosts(viewOf(9), "d1", settings, now).size());
+    LONGS_EQUAL(500, servingHosts(viewOf(9), "d1", settings, now).front()->capacity);
+}
+
+// Guards against strong hosts without headroom for the callers of a lost failure domain, and against weak hosts that
+// are named for headroom alone.
+TEST(Roles, StrongHostsBearTheLossOfADomain)
+{
+    fill(60, 3);
+    for (size_t n = 0; n < heartbeats.size(); ++n)
+        heartbeats[n].capacity = n < 12 ? 500 : 120;
+    ServingSettings settings { 2, 6000, true };
+    auto setLoad = [&](const std::string& domain, uint32_t load) {
+        std::ranges::find(heartbeats, domain, &Heartbeat::failureDomain)->load = load;
+    };
+    // Four strong hosts of a domain carry 12,000 attempts per second, two 6,000.
+    setLoad("d0", 5000);
+    LONGS_EQUAL(2, servingHosts(viewOf(0), "d0", settings, now).size());
+    setLoad("d1", 6000);
+    LONGS_EQUAL(3, servingHosts(viewOf(0), "d0", settings, now).size());
+    setLoad("d1", 40'000);
+    LONGS_EQUAL(4, servingHosts(viewOf(0), "d0", settings, now).size());
+    setLoad("d0", 12'100);
+    // Callers choose evenly, so that 17 hosts are needed of which the weakest carries 720.
+    LONGS_EQUAL(17, servingHosts(viewOf(0), "d0", settings, now).size());
+}
+
+// Guards against a fleet of equal hosts that is served otherwise because strong ones are preferred.
+TEST(Roles, EqualFleetIsServedAsWithoutThePreference)
+{
+    fill(40, 2);
+    for (auto& heartbeat : heartbeats)
+        heartbeat.capacity
+            = std::ranges::find(heartbeats, heartbeat.name, &Heartbeat::name) - heartbeats.begin() < 8 ? 260 : 250;
+    for (uint32_t load : { 0U, 100U, 500U, 100'000U }) {
+        for (auto& heartbeat : heartbeats)
+            heartbeat.load = load;
+        CHECK_TRUE(servingHosts(viewOf(0), "d0", { 3, 6000 }, now).size()
+            == servingHosts(viewOf(0), "d0", { 3, 6000, true }, now).size());
+        auto view = viewOf(0);
+        CHECK_TRUE(servingHosts(view, "d1", { 3, 6000 }, now) == servingHosts(view, "d1", { 3, 6000, true }, now));
+    }
+}
--- a/Tests/gateway/GatewaySettingsTest.cpp
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -59,3 +59,15 @@
     CHECK_FALSE(readTable({ "/nowhere/table.csv" }, reason).has_value());
     CHECK_TRUE(reason.text.find("/nowhere/table.csv") != std::string::npos);
 }
+
+// Guards against answers that are valid for longer, or name other hosts, without a setting that asks for it.
+TEST(GatewaySettings, EntryAnswersAreUnchangedByDefault)
+{
+    auto plain = parse(R"(, "entryAnswers": { "timeToLiveSeconds": 2 })");
+    auto validity = validityOf(plain->entryAnswers, plain->stop);
+    CHECK_TRUE(validity.timeToLive == std::chrono::seconds(2) && validity.calmTimeToLive == validity.timeToLive);
+    CHECK_FALSE(servingOf(plain->entryAnswers).prefersStrongHosts);
+    auto set = parse(R"(, "entryAnswers": { "calmTimeToLiveSeconds": 5, "prefersStrongHosts": true })");
+    CHECK_TRUE(validityOf(set->entryAnswers, set->stop).calmTimeToLive == std::chrono::seconds(5));
+    CHECK_TRUE(servingOf(set->entryAnswers).prefersStrongHosts);
+}
