fleet: Let hosts read the store when no reader is confirmed

Cause: hosts relied on the heartbeats of the chosen readers, which say nothing about how recently the store has answered.

Change: a heartbeat ends with the age of the newest confirmation of the store that its sender knows of. A host that hears none for 2.2 s reads the store for itself, spread over 0.3 s, and stops when another reader is confirmed. The second reader answers half a cycle after the first one and pauses after each answer, so that a confirmation is due each 1.65 s without more calls. Readers of a large fleet pass changes and confirmations on to each other. contentAgeMs of a request line is now the age of that confirmation.

--- a/Source/papayabend/fleet/FleetView.cpp
+++ b/Source/papayabend/fleet/FleetView.cpp
@@ -5,6 +5,23 @@
 
 namespace papayabend::fleet {
 
+namespace {
+
+    // An hour; older confirmations need no distinction.
+    constexpr int64_t maxStatedAgeMs = 3'600'000;
+
+}
+
+Heartbeat FleetView::ownHeartbeat(base::TimePoint now) const
+{
+    auto heartbeat = m_self;
+    if (m_storeConfirmedAt != base::TimePoint {}) {
+        auto age = std::clamp<int64_t>(base::toMilliseconds(now - m_storeConfirmedAt), 0, maxStatedAgeMs);
+        heartbeat.storeAgeMs = static_cast<uint32_t>(age);
+    }
+    return heartbeat;
+}
+
 bool FleetView::apply(const Heartbeat& heartbeat, base::TimePoint now)
 {
     if (heartbeat.name.empty() || heartbeat.name == m_self.name)
--- a/Source/papayabend/fleet/FleetView.h
+++ b/Source/papayabend/fleet/FleetView.h
@@ -36,6 +36,11 @@
     uint32_t capacity { 1 }; /**< Processor time available to it, in thousandths of a core. */
     uint32_t load { 0 }; /**< Attempts per second that it sends to upstreams, see LoadEstimate. */
     uint32_t demand { 0 }; /**< First attempts per second that its callers ask for, also those that it refuses. */
+    /** Age of the newest confirmation of the store that it knew of when it sent this, see ContentFreshness. */
+    uint32_t storeAgeMs { unknownStoreAge };
+
+    /** Hosts of previous versions, and those without a confirmation, state no age. */
+    static constexpr uint32_t unknownStoreAge = UINT32_MAX;
 };
 
 /** \struct Member
@@ -70,6 +75,10 @@
 
     Heartbeat& self() { return m_self; }
     const Heartbeat& self() const { return m_self; }
+    /** Sets the time of the newest confirmation of the store that this host knows of. */
+    void setStoreConfirmedAt(base::TimePoint at) { m_storeConfirmedAt = at; }
+    /** Returns the heartbeat of this host as it is to be sent at \a now. */
+    Heartbeat ownHeartbeat(base::TimePoint now) const;
 
     /** Applies a heartbeat; returns whether it is newer than the known one of its host. */
     bool apply(const Heartbeat& heartbeat, base::TimePoint now);
@@ -88,6 +97,7 @@
 
 private:
     Heartbeat m_self;
+    base::TimePoint m_storeConfirmedAt {};
     std::map<std::string, Member> m_members;
 };
 
--- a/Source/papayabend/fleet/HeartbeatCodec.cpp
+++ b/Source/papayabend/fleet/HeartbeatCodec.cpp
@@ -23,7 +23,7 @@
         return json::array({ heartbeat.name, heartbeat.callerAddress, heartbeat.peerAddress, heartbeat.failureDomain,
             heartbeat.incarnation, heartbeat.sequence, static_cast<unsigned>(heartbeat.stage),
             heartbeat.configurationVersion, heartbeat.contentRevision, heartbeat.isStoreUnreachable, heartbeat.capacity,
-            heartbeat.load, heartbeat.demand });
+            heartbeat.load, heartbeat.demand, heartbeat.storeAgeMs });
     }
 
     // Hosts of previous versions expect the number of lost upstreams of each request, and no deeper nesting.
@@ -55,13 +55,16 @@
 
     Heartbeat heartbeatOf(const json& value)
     {
-        // Hosts of previous versions do not send the load and the demand.
-        auto laterField = [&value](size_t index) { return value.size() > index ? value.at(index).get<uint32_t>() : 0; };
+        // Hosts of previous versions do not send the load, the demand and the age.
+        auto laterField = [&value](size_t index, uint32_t absent = 0) {
+            return value.size() > index ? value.at(index).get<uint32_t>() : absent;
+        };
         auto stage = std::min(value.at(6).get<unsigned>(), static_cast<unsigned>(HostStage::Leaving));
         return { value.at(0).get<std::string>(), value.at(1).get<std::string>(), value.at(2).get<std::string>(),
             value.at(3).get<std::string>(), value.at(4).get<uint64_t>(), value.at(5).get<uint64_t>(),
             static_cast<HostStage>(stage), value.at(7).get<uint64_t>(), value.at(8).get<uint64_t>(),
-            value.at(9).get<bool>(), value.at(10).get<uint32_t>(), laterField(11), laterField(12) };
+            value.at(9).get<bool>(), value.at(10).get<uint32_t>(), laterField(11), laterField(12),
+            laterField(13, Heartbeat::unknownStoreAge) };
     }
 
 }
--- a/Source/papayabend/fleet/Roles.cpp
+++ b/Source/papayabend/fleet/Roles.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 #include <bit>
+#include <map>
 #include <numeric>
 #include <ranges>
 #include <set>
+#include <tuple>
 
 namespace papayabend::fleet {
 
@@ -21,18 +23,23 @@
         return base::rendezvousScore(readerKey, heartbeat.name + ' ' + std::to_string(heartbeat.incarnation));
     }
 
-    /** Returns the live hosts that may read the store, in order of preference. */
-    std::vector<const Heartbeat*> readerOrder(const FleetView& fleet, base::TimePoint now)
+    /** Returns the live hosts among which readers are chosen: all, or in a large fleet those of the failure domain. */
+    std::vector<const Heartbeat*> readerCandidates(const FleetView& fleet, base::TimePoint now)
     {
         auto heartbeats = fleet.liveHeartbeats(now);
-        std::erase_if(heartbeats, [](const auto* it) { return it->stage == HostStage::Leaving; });
-        std::ranges::sort(heartbeats, [](const auto* a, const auto* b) {
-            return std::pair(!a->isStoreUnreachable, readerScore(*a))
-                > std::pair(!b->isStoreUnreachable, readerScore(*b));
-        });
+        if (!fleet.isSmall())
+            std::erase_if(heartbeats, [&](const auto* it) { return it->failureDomain != fleet.self().failureDomain; });
         return heartbeats;
     }
 
+    std::set<std::string_view> liveDomains(const FleetView& fleet, base::TimePoint now)
+    {
+        std::set<std::string_view> domains;
+        for (const auto* heartbeat : fleet.liveHeartbeats(now))
+            domains.insert(heartbeat->failureDomain);
+        return domains;
+    }
+
     /** Returns how many of \a heartbeats, from the first one on, are needed to carry \a load attempts per second. */
     size_t neededHosts(const std::vector<const Heartbeat*>& heartbeats, const ServingSettings& settings, uint64_t load)
     {
@@ -46,15 +53,24 @@
 
 }
 
-bool isReader(const FleetView& fleet, base::TimePoint now)
+std::vector<const Heartbeat*> readerOrder(std::vector<const Heartbeat*> heartbeats)
+{
+    std::erase_if(heartbeats, [](const auto* it) { return it->stage == HostStage::Leaving; });
+    // The scores are computed once, since a large fleet has many hosts and each of them decides this several times a
+    // second.
+    std::vector<std::tuple<bool, uint64_t, const Heartbeat*>> ranked;
+    ranked.reserve(heartbeats.size());
+    for (const auto* it : heartbeats)
+        ranked.emplace_back(!it->isStoreUnreachable, readerScore(*it), it);
+    std::ranges::sort(ranked, [](const auto& a, const auto& b) {
+        return std::pair(std::get<0>(a), std::get<1>(a)) > std::pair(std::get<0>(b), std::get<1>(b));
+    });
+    std::ranges::transform(ranked, heartbeats.begin(), [](const auto& it) { return std::get<2>(it); });
+    return heartbeats;
+}
+
+std::vector<const Heartbeat*> smallFleetReadersOf(const std::vector<const Heartbeat*>& order)
 {
-    const auto& self = fleet.self();
-    auto order = readerOrder(fleet, now);
-    if (!fleet.isSmall()) {
-        auto it = std::ranges::find(
-            order, self.failureDomain, [](const auto* heartbeat) { return heartbeat->failureDomain; });
-        return it != order.end() && *it == &self;
-    }
     std::vector<const Heartbeat*> readers;
     std::set<std::string> domains;
     for (const auto* heartbeat : order) {
@@ -65,7 +81,33 @@
         if (readers.size() < smallFleetReaders && std::ranges::find(readers, heartbeat) == readers.end())
             readers.push_back(heartbeat);
     }
-    return std::ranges::find(readers, &self) != readers.end();
+    return readers;
+}
+
+ReaderRole readerRole(const FleetView& fleet, base::TimePoint now)
+{
+    auto order = readerOrder(readerCandidates(fleet, now));
+    const auto* self = &fleet.self();
+    auto domains = fleet.isSmall() ? std::set<std::string_view>() : liveDomains(fleet, now);
+    if (domains.size() > 1) {
+        auto domainRank = static_cast<size_t>(std::distance(domains.begin(), domains.find(self->failureDomain)));
+        auto isFirst = !order.empty() && order.front() == self;
+        return { isFirst ? std::optional(domainRank) : std::nullopt, domains.size() };
+    }
+    auto readers = smallFleetReadersOf(order);
+    auto it = std::ranges::find(readers, self);
+    if (it == readers.end())
+        return { std::nullopt, readers.size() };
+    return { static_cast<size_t>(std::distance(readers.begin(), it)), readers.size() };
+}
+
+bool isReader(const FleetView& fleet, base::TimePoint now) { return readerRole(fleet, now).rank.has_value(); }
+
+ReaderSlot readerSlot(const FleetView& fleet, base::TimePoint now)
+{
+    auto order = readerOrder(readerCandidates(fleet, now));
+    auto position = std::ranges::find(order, &fleet.self()) - order.begin();
+    return { static_cast<size_t>(position), std::max<size_t>(order.size(), 1) };
 }
 
 std::vector<std::string> pushTargets(const FleetView& fleet, base::TimePoint now)
@@ -79,6 +121,23 @@
     return addresses;
 }
 
+std::vector<std::string> confirmationTargets(const FleetView& fleet, base::TimePoint now)
+{
+    auto addresses = pushTargets(fleet, now);
+    if (fleet.isSmall())
+        return addresses;
+    std::map<std::string_view, std::vector<const Heartbeat*>> byDomain;
+    for (const auto* heartbeat : fleet.liveHeartbeats(now))
+        byDomain[heartbeat->failureDomain].push_back(heartbeat);
+    byDomain.erase(fleet.self().failureDomain);
+    for (const auto& [domain, heartbeats] : byDomain) {
+        auto order = readerOrder(heartbeats);
+        if (!order.empty())
+            addresses.push_back(order.front()->peerAddress);
+    }
+    return addresses;
+}
+
 std::vector<const Heartbeat*> servingHosts(
     const FleetView& fleet, std::string_view failureDomain, const ServingSettings& settings, base::TimePoint now)
 {
--- a/Source/papayabend/fleet/Roles.h
+++ b/Source/papayabend/fleet/Roles.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/fleet/FleetView.h"
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -10,18 +11,59 @@
 /** Number of hosts of a small fleet that watch the store; each pushes changes to all others. */
 constexpr size_t smallFleetReaders = 2;
 
-/** Returns whether this host should watch the store.
+/** Returns the hosts of \a heartbeats that may read the store, in order of preference: by hash, with those that the
+ * store has recently failed to answer last. Leaving hosts are left out. */
+std::vector<const Heartbeat*> readerOrder(std::vector<const Heartbeat*> heartbeats);
+
+/** Returns the chosen readers of a small fleet, given in order of preference: the first smallFleetReaders hosts, in
+ * different failure domains if possible. */
+std::vector<const Heartbeat*> smallFleetReadersOf(const std::vector<const Heartbeat*>& order);
+
+/** \struct ReaderRole
+ * \brief Whether and how a host should watch the store.
+ */
+struct ReaderRole {
+    std::optional<size_t> rank; /**< Position among the chosen readers; empty if it is not one of them. */
+    size_t readers { 0 }; /**< Number of chosen readers. */
+};
+
+/** Returns the role of this host.
  *
- * Small fleet: the first smallFleetReaders hosts in an order by hash, in different failure domains if possible. Large
- * fleet: the first host of each failure domain. Hosts that the store has recently failed to answer are last in that
- * order. Hosts may have different views of the fleet; a superfluous reader only costs calls to the store.
+ * The chosen readers of a large fleet are the first host of each failure domain, or the first two if there is only one
+ * failure domain. Hosts may have different views of the fleet; a superfluous reader only costs calls to the store.
  */
+ReaderRole readerRole(const FleetView&, base::TimePoint now);
+
+/** Returns whether this host is a chosen reader. */
 bool isReader(const FleetView&, base::TimePoint now);
 
+/** \struct ReaderSlot
+ * \brief Position of a host among those that may read the store when no confirmation arrives.
+ */
+struct ReaderSlot {
+    size_t position { 0 };
+    size_t count { 1 };
+};
+
+/** Returns this host's position among the live hosts of the fleet, or in a large fleet of its failure domain. The order
+ * is that in which readers are chosen; a leaving host is last. */
+ReaderSlot readerSlot(const FleetView&, base::TimePoint now);
+
 /** Returns the peer addresses that this host pushes its changes to: those of all other live hosts, or in a large fleet
  * of those in its failure domain. */
 std::vector<std::string> pushTargets(const FleetView&, base::TimePoint now);
 
+/** Returns the peer addresses of the hosts that a chosen reader informs of an answer of the store: pushTargets(), and
+ * in a large fleet the chosen readers of the other failure domains, which pass it on. */
+std::vector<std::string> confirmationTargets(const FleetView&, base::TimePoint now);
+
+/** Size of a failure domain up to which a reader passes on the confirmations of other failure domains. Heartbeats
+ * spread them faster in a larger one, where the messages would exceed the control traffic of the reader's host. */
+constexpr size_t maxForwardingDomain = 64;
+/** A reader passes on a confirmation that is newer by this than the last one it has sent. With 750 ms, hosts of 3
+ * failure domains reached an age of 2.2 s without any disturbance. */
+constexpr base::Duration forwardingStep { std::chrono::milliseconds(400) };
+
 /** \struct ServingSettings
  * \brief Settings that determine how many hosts callers are sent to.
  */
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -22,6 +22,8 @@
     constexpr double connectionShare = 0.92;
     // More connections than twice the requests that an upstream runs at the same time only lengthen its queue.
     constexpr uint32_t connectionsPerSlot = 2;
+    // Time after a pause of the process in which it may still receive datagrams that waited during the pause.
+    constexpr base::Duration resumptionTime { std::chrono::milliseconds(500) };
 
 }
 
@@ -36,14 +38,23 @@
         auto change = m_state.content.apply(page.items, base::BootClock::now());
         m_state.content.setComplete(std::ranges::max(page.items, {}, &StoreItem::revision).revision);
         handleContentChange(change, "store");
+        recordStoreAnswer(true);
         pushChanges(before);
     };
+    events.unchanged = [this] {
+        recordStoreAnswer(false);
+        sendConfirmation();
+    };
+    events.pauseTime = [this](bool hasChanges) { return fleet::pauseAfterAnswer(readerKind(), hasChanges); };
+    events.appliedRevision = [this] { return m_state.content.hasList() ? m_state.content.revision() : 0; };
+    events.watchTime = [this] { return fleet::watchTime(readerKind(), m_freshness, base::BootClock::now()); };
     events.listCompleted = [this](const std::set<std::string>& keys, uint64_t asOf) {
         auto before = m_state.content.revision();
         m_state.content.retain(keys, asOf, base::BootClock::now());
         logEvent("listed",
             LogFields().add("keys", static_cast<int64_t>(keys.size())).add("revision", static_cast<int64_t>(asOf)));
         updateAfterContentChange();
+        recordStoreAnswer(true);
         pushChanges(before);
     };
     events.regained = [this] {
@@ -54,7 +65,9 @@
         m_state.fleet.self().isStoreUnreachable = true;
         m_storeUnreachableUntil = base::BootClock::now() + storeUnreachableTime;
         logEvent("lost", LogFields().add("dependency", "store").add("reason", reason));
-        sendHeartbeatNow();
+        // Other hosts replace a chosen reader. In an outage of the store all hosts stand in and fail at the same time.
+        if (!m_freshness.standsInSince)
+            sendHeartbeatNow();
     };
     return events;
 }
@@ -140,7 +153,7 @@
 {
     if (m_state.content.revision() <= after)
         return;
-    auto addresses = fleet::pushTargets(m_state.fleet, base::BootClock::now());
+    auto addresses = fleet::confirmationTargets(m_state.fleet, base::BootClock::now());
     m_peerLink.push(addresses, m_state.content.encode(after));
 }
 
@@ -229,8 +242,8 @@
 {
     auto now = base::BootClock::now();
     auto before = m_state.fleet.members().size();
-    if (!message.heartbeats.empty() && message.heartbeats.front().contentRevision <= m_state.content.revision())
-        m_state.contentConfirmedAt = now;
+    // Ages in datagrams that waited while the process was paused are too low.
+    checkPause(now);
     for (const auto& heartbeat : message.heartbeats) {
         auto known = m_state.fleet.members().find(heartbeat.name);
         auto isStart
@@ -247,9 +260,48 @@
     }
     if (!message.changes.empty())
         applyPushedChanges(message);
+    recordStatedAge(message, now);
     pullIfBehind(now);
 }
 
+void GatewayHost::recordStoreAnswer(bool hasChanges)
+{
+    fleet::recordAnswer(m_freshness, hasChanges, base::BootClock::now());
+    m_state.contentConfirmedAt = fleet::confirmedAt(m_freshness);
+    m_state.fleet.setStoreConfirmedAt(m_state.contentConfirmedAt);
+    if (hasChanges)
+        m_sentConfirmation = m_state.contentConfirmedAt;
+}
+
+void GatewayHost::recordStatedAge(const fleet::HeartbeatMessage& message, base::TimePoint now)
+{
+    if (message.heartbeats.empty() || now - m_resumedAt < resumptionTime)
+        return;
+    // The other heartbeats are relayed, and their ages are those of the time when they were sent.
+    const auto& sender = message.heartbeats.front();
+    auto isNotBehind = m_state.content.hasList() && sender.contentRevision <= m_state.content.revision();
+    if (sender.storeAgeMs == fleet::Heartbeat::unknownStoreAge || !isNotBehind)
+        return;
+    fleet::recordStatement(m_freshness, std::chrono::milliseconds(sender.storeAgeMs), now);
+    m_state.contentConfirmedAt = fleet::confirmedAt(m_freshness);
+    m_state.fleet.setStoreConfirmedAt(m_state.contentConfirmedAt);
+    if (!m_readerRole.rank || m_state.fleet.isSmall()
+        || m_state.contentConfirmedAt - m_sentConfirmation < fleet::forwardingStep)
+        return;
+    m_sentConfirmation = m_state.contentConfirmedAt;
+    auto addresses = fleet::pushTargets(m_state.fleet, now);
+    if (addresses.size() <= fleet::maxForwardingDomain)
+        m_peerLink.push(addresses, {});
+}
+
+void GatewayHost::sendConfirmation()
+{
+    m_sentConfirmation = m_state.contentConfirmedAt;
+    m_peerLink.push(fleet::confirmationTargets(m_state.fleet, base::BootClock::now()), {});
+}
+
+fleet::ReaderKind GatewayHost::readerKind() const { return fleet::readerKind(m_readerRole.rank); }
+
 void GatewayHost::mergeCrashNotices(std::span<const dispatch::CrashNotice> notices, base::TimePoint now)
 {
     std::map<uint64_t, uint32_t> before;
@@ -267,12 +319,16 @@
 void GatewayHost::applyPushedChanges(const fleet::HeartbeatMessage& message)
 {
     base::LastReason reason;
+    auto before = m_state.content.revision();
     // Changes that cannot be applied because earlier ones are missing are dropped here and pulled later: the heartbeat
     // of their sender shows that it has a newer revision.
     if (auto change = m_state.content.applyEncoded(message.changes, base::BootClock::now(), reason)) {
         handleContentChange(*change, "peer");
         m_state.fleet.self().contentRevision = m_state.content.revision();
     }
+    // The reader of another failure domain has sent them, and this one may be between two calls.
+    if (m_readerRole.rank && !m_state.fleet.isSmall() && m_state.content.revision() > before)
+        m_peerLink.push(fleet::pushTargets(m_state.fleet, base::BootClock::now()), m_state.content.encode(before));
 }
 
 void GatewayHost::pullIfBehind(base::TimePoint now)
@@ -336,14 +392,47 @@
     auto& self = m_state.fleet.self();
     if (self.isStoreUnreachable && !m_storeReader.isFollowing() && now >= m_storeUnreachableUntil)
         self.isStoreUnreachable = false;
-    auto shouldRead = now - m_startedAt >= readerDelay && fleet::isReader(m_state.fleet, now);
+    m_readerRole = fleet::readerRole(m_state.fleet, now);
+    auto wasStandingIn = m_freshness.standsInSince.has_value();
+    if (m_readerRole.rank) {
+        m_freshness.standsInSince.reset();
+    } else if (wasStandingIn || (m_state.content.hasList() && now >= fleet::readingDueAt(m_freshness, 0, 1))) {
+        auto slot = fleet::readerSlot(m_state.fleet, now);
+        fleet::updateStandIn(m_freshness, slot.position, slot.count, now);
+        m_standIns += !wasStandingIn && m_freshness.standsInSince ? 1 : 0;
+    }
+    auto shouldRead = now - m_startedAt >= readerDelay && (m_readerRole.rank || m_freshness.standsInSince);
     if (shouldRead == m_storeReader.isFollowing())
-        return;
+        return renewStoreCall(m_readerRole, now);
     logEvent("reader",
-        LogFields().add("reads", shouldRead ? 1 : 0).add("revision", static_cast<int64_t>(self.contentRevision)));
+        LogFields()
+            .add("reads", shouldRead ? 1 : 0)
+            .add("cause", m_readerRole.rank ? "chosen" : "age")
+            .add("contentAgeMs", base::toMilliseconds(now - std::max(m_state.contentConfirmedAt, m_startedAt)))
+            .add("revision", static_cast<int64_t>(self.contentRevision)));
     if (!shouldRead)
         return m_storeReader.stop();
-    m_storeReader.follow(m_state.content.hasList() ? std::optional(m_state.content.revision()) : std::nullopt);
+    m_freshness.restartedAt = now;
+    m_storeReader.follow(m_state.content.hasList() ? std::optional(m_state.content.revision()) : std::nullopt,
+        m_readerRole.rank ? StoreReader::minRetryDelay : fleet::standInRetryDelay);
+}
+
+void GatewayHost::renewStoreCall(const fleet::ReaderRole& role, base::TimePoint now)
+{
+    // The only reader of a fleet hears nobody else, and a failed call is repeated anyway.
+    if (!role.rank || role.readers < 2 || !m_storeReader.isConnected() || now < fleet::readingDueAt(m_freshness, 0, 1))
+        return;
+    m_freshness.restartedAt = now;
+    m_storeReader.follow(m_state.content.revision());
+}
+
+base::Duration GatewayHost::timeUntilReading(base::Duration time, base::TimePoint now) const
+{
+    auto dueAt = fleet::readingDueAt(m_freshness, 0, 1);
+    if (m_storeReader.isFollowing() || !m_state.content.hasList() || dueAt > now + time)
+        return time;
+    constexpr base::Duration minTime { std::chrono::milliseconds(25) };
+    return std::clamp(dueAt - now, minTime, std::max(minTime, time));
 }
 
 }
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -76,7 +76,8 @@
     , m_pullTimer(io)
     , m_signals(io, SIGTERM, SIGINT, SIGHUP)
     , m_contentTransfers(std::make_shared<fleet::ContentTransfers>())
-    , m_startedAt(base::BootClock::now())
+    , m_freshness { .startedAt = base::BootClock::now() }
+    , m_startedAt(m_freshness.startedAt)
 {
     m_faults->setReport([this](std::string_view source, std::string_view reason) {
         logEvent("fault", LogFields().add("source", source).add("reason", reason), LineClass::Failure);
@@ -214,7 +215,6 @@
         logEvent("lost", LogFields().add("dependency", "host").add("name", name));
     if (m_state.fleet.members().size() != before)
         updateUpstreamConnections();
-    m_state.contentConfirmedAt = std::max(m_state.contentConfirmedAt, m_storeReader.answeredAt());
     m_state.pool.sweep(m_state.budgetShare.isServing ? 1 : 0, now);
     fleet::observe(m_loadEstimate, m_state.pool.counters().attempts, now);
     m_state.fleet.self().load = static_cast<uint32_t>(m_loadEstimate.perSecond);
@@ -234,7 +234,7 @@
     }
     m_log.flush();
     auto needsShortInterval = m_state.isStale || m_state.fleet.self().stage == fleet::HostStage::Starting;
-    m_tickTimer.expires_after(needsShortInterval ? shortTickInterval : tickInterval);
+    m_tickTimer.expires_after(timeUntilReading(needsShortInterval ? shortTickInterval : tickInterval, now));
     m_tickTimer.async_wait([this](const boost::system::error_code& ec) {
         if (!ec)
             tick();
@@ -392,6 +392,8 @@
     gauge("client_connections", connections);
     gauge("open_requests", requests);
     counter("store_calls_total", m_storeReader.calls());
+    gauge("content_age_seconds", std::chrono::duration<double>(now - m_state.contentConfirmedAt).count());
+    counter("store_stand_ins_total", m_standIns);
     gauge("buffered_bytes", m_buffers->bytes);
     counter("buffers_revoked_total", m_buffers->revoked);
     counter("message_faults_total", m_faults->count());
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayabend/fleet/ContentFreshness.h"
 #include "papayabend/fleet/ContentPull.h"
 #include "papayabend/fleet/ContentTransfers.h"
 #include "papayabend/fleet/LoadEstimate.h"
@@ -76,8 +77,20 @@
     /** Detects that the process did not run for a while. Its content then counts as stale until a host or the store
      * answers. */
     void checkPause(base::TimePoint now);
-    /** Starts or stops reading the store, depending on whether this host is a reader. */
+    /** Starts or stops reading the store, depending on whether this host is a chosen reader or stands in for them. */
     void updateStoreReader(base::TimePoint now);
+    /** Abandons the present call if this host has heard no fresh confirmation, and makes a new one. */
+    void renewStoreCall(const fleet::ReaderRole&, base::TimePoint now);
+    /** Returns the time until this host reads the store for itself, at most \a time. */
+    base::Duration timeUntilReading(base::Duration time, base::TimePoint now) const;
+    /** Records an answer of the store that this host has applied. */
+    void recordStoreAnswer(bool hasChanges);
+    /** Records the age of the newest confirmation of the store that the sender of \a message knows of, and passes it on
+     * if this host is the reader of its failure domain. */
+    void recordStatedAge(const fleet::HeartbeatMessage&, base::TimePoint now);
+    /** Sends a heartbeat to the hosts that rely on this reader, after an answer of the store without changes. */
+    void sendConfirmation();
+    fleet::ReaderKind readerKind() const;
     /** Sends the changes after revision \a after to other hosts. */
     void pushChanges(uint64_t after);
     /** Sends a heartbeat outside the regular interval, so that other hosts see a new stage or state immediately. */
@@ -146,6 +159,10 @@
     EncodedContent m_encodedContent;
     std::shared_ptr<fleet::ContentTransfers> m_contentTransfers; /**< Open connections refer to it. */
     fleet::PullState m_pullState;
+    fleet::ContentFreshness m_freshness;
+    fleet::ReaderRole m_readerRole;
+    base::TimePoint m_sentConfirmation {}; /**< The newest confirmation that this host has sent as a reader. */
+    uint64_t m_standIns { 0 }; /**< Times that this host has begun to stand in. */
     fleet::LoadEstimate m_loadEstimate;
     fleet::LoadEstimate m_demandEstimate;
     base::TimePoint m_startedAt {};
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -50,8 +50,7 @@
     std::unordered_map<std::string, dispatch::LatencyEstimate> latency; /**< By route name. */
     base::Random random;
     dispatch::TurnDelay turnDelay;
-    /** Time of the last answer of the store, or of the last heartbeat of another host that stated no newer revision
-     * than this host's. */
+    /** Time of the newest answer of the store, to this host or to another one that has stated its age. */
     base::TimePoint contentConfirmedAt {};
     /** The process was paused, and neither the store nor another host has confirmed its content since. */
     bool isStale { false };
--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -89,7 +89,8 @@
 
 fleet::HeartbeatMessage PeerLink::ownMessage(bool toNewHost) const
 {
-    return { { m_fleet.self() }, m_events.crashNotices(toNewHost), {}, m_events.limitNotices() };
+    return { { m_fleet.ownHeartbeat(base::BootClock::now()) }, m_events.crashNotices(toNewHost), {},
+        m_events.limitNotices() };
 }
 
 void PeerLink::sendHeartbeats()
--- a/Source/papayabend/gateway/StoreReader.cpp
+++ b/Source/papayabend/gateway/StoreReader.cpp
@@ -10,17 +10,14 @@
 
     // Even a store that is fifty times slower than usual answers a list within 500 ms.
     constexpr base::Duration listTimeout { std::chrono::seconds(2) };
-    // Longest time for which the store holds a watch open. A watch fails if this time and the slack pass without an
-    // answer.
-    constexpr base::Duration watchTimeout { std::chrono::seconds(3) };
+    // Time for which the store holds a watch open that is to be answered at once.
+    constexpr base::Duration promptWatchTime { std::chrono::milliseconds(10) };
+    // A watch fails if the time for which the store holds it open and this slack pass without an answer.
     constexpr base::Duration watchSlack { std::chrono::seconds(1) };
     // An answer that has begun may take longer, as over a busy link, if a part of it arrives within each stall time.
     constexpr base::Duration answerStallTime { std::chrono::seconds(1) };
     constexpr base::Duration maxCallTime { std::chrono::seconds(10) };
-    // Changes often come in series. With a delay after each answer, the next call returns several of them.
-    constexpr base::Duration batchDelay { std::chrono::milliseconds(150) };
-    // Delays after failed calls. They double from the minimum to the maximum; each is varied at random by up to 25 %.
-    constexpr base::Duration minRetryDelay { std::chrono::milliseconds(100) };
+    // Delays after failed calls double up to this maximum; each is varied at random by up to 25 %.
     constexpr base::Duration maxRetryDelay { std::chrono::milliseconds(800) };
     // Prefix of all keys. The store holds only those of the operator and of the upstreams.
     constexpr auto allKeys = "";
@@ -44,11 +41,13 @@
 
 StoreReader::~StoreReader() = default;
 
-void StoreReader::follow(std::optional<uint64_t> revision)
+void StoreReader::follow(std::optional<uint64_t> revision, base::Duration retryDelay)
 {
     stop();
     m_isFollowing = true;
     m_isListing = !revision;
+    m_needsPromptAnswer = revision.has_value();
+    m_retryDelay = retryDelay;
     m_revision = revision.value_or(0);
     m_failures = 0;
     m_hasFailed = false;
@@ -72,7 +71,10 @@
 {
     if (m_isListing)
         return startCall(m_adapter.listTarget(allKeys, m_lastListedKey), listTimeout);
-    startCall(m_adapter.watchTarget(allKeys, m_revision, watchTimeout), watchTimeout + watchSlack);
+    // Changes that other hosts have sent during a pause need no answer of the store.
+    m_revision = std::max(m_revision, m_events.appliedRevision());
+    auto watchTime = m_needsPromptAnswer ? promptWatchTime : m_events.watchTime();
+    startCall(m_adapter.watchTarget(allKeys, m_revision, watchTime), watchTime + watchSlack);
 }
 
 void StoreReader::startCall(const std::string& target, base::Duration timeout)
@@ -176,14 +178,13 @@
     m_revision = std::max(m_revision, page->asOf);
     m_failures = 0;
     m_answeredAt = base::BootClock::now();
+    m_needsPromptAnswer = false;
     if (!m_isConnected) {
         m_isConnected = true;
         m_events.regained();
     }
-    if (page->items.empty())
-        return startNextCall();
-    m_events.changesReceived(*page);
-    scheduleNextCall(batchDelay);
+    page->items.empty() ? m_events.unchanged() : m_events.changesReceived(*page);
+    scheduleNextCall(m_events.pauseTime(!page->items.empty()));
 }
 
 void StoreReader::scheduleNextCall(base::Duration time)
@@ -204,7 +205,8 @@
         m_hasFailed = true;
         m_events.lost(reason);
     }
-    auto time = std::min<base::Duration>(minRetryDelay * (1 << std::min(m_failures, 3U)), maxRetryDelay);
+    m_needsPromptAnswer = true;
+    auto time = std::min(m_retryDelay * (1 << std::min(m_failures, 3U)), std::max(maxRetryDelay, m_retryDelay));
     ++m_failures;
     scheduleNextCall(std::chrono::duration_cast<base::Duration>(time * (0.75 + 0.5 * base::uniform(m_random))));
 }
--- a/Source/papayabend/gateway/StoreReader.h
+++ b/Source/papayabend/gateway/StoreReader.h
@@ -24,6 +24,14 @@
     std::function<void()> regained;
     /** The first call that failed since follow() or since the store last answered. */
     std::function<void(const std::string& reason)> lost;
+    /** A watch has ended without a change. */
+    std::function<void()> unchanged { [] {} };
+    /** Returns the time from an answer of a watch to the next call. */
+    std::function<base::Duration(bool hasChanges)> pauseTime { [](bool) { return base::Duration(0); } };
+    /** Returns the revision up to which this host has all changes, from the store or from other hosts. */
+    std::function<uint64_t()> appliedRevision { [] { return uint64_t { 0 }; } };
+    /** Returns the time for which the store is to hold the next watch open. */
+    std::function<base::Duration()> watchTime { [] { return base::Duration(std::chrono::seconds(3)); } };
 };
 
 /** \class StoreReader
@@ -42,8 +50,12 @@
     StoreReader(const StoreReader&) = delete;
     StoreReader& operator=(const StoreReader&) = delete;
 
-    /** Watches for changes after \a revision; lists all keys first if \a revision is empty. */
-    void follow(std::optional<uint64_t> revision);
+    /** Shortest delay after a failed call of a host that reads the store all the time. */
+    static constexpr base::Duration minRetryDelay { std::chrono::milliseconds(100) };
+
+    /** Watches for changes after \a revision; lists all keys first if \a revision is empty. The first watch is answered
+     * at once. The first delay after a failed call is \a retryDelay. */
+    void follow(std::optional<uint64_t> revision, base::Duration retryDelay = minRetryDelay);
     /** Cancels the present call. No further call is made until the next follow(). */
     void stop();
     bool isFollowing() const { return m_isFollowing; }
@@ -78,6 +90,9 @@
     boost::asio::steady_timer m_retryTimer;
     bool m_isFollowing { false };
     bool m_isListing { true };
+    /** The next watch is answered at once, so that other hosts soon learn that the store answers this one. */
+    bool m_needsPromptAnswer { false };
+    base::Duration m_retryDelay { minRetryDelay };
     bool m_isConnected { false };
     bool m_hasFailed { false };
     std::string m_lastListedKey; /**< Last key of the pages so far; empty before the first page. */
--- a/Tests/fleet/HeartbeatCodecTest.cpp
+++ b/Tests/fleet/HeartbeatCodecTest.cpp
@@ -30,6 +30,7 @@
     heartbeat.capacity = 250;
     heartbeat.load = 1700;
     heartbeat.demand = 800;
+    heartbeat.storeAgeMs = 1250;
     auto message = decode(
         encodeHeartbeats({ { heartbeat }, { { 99, 5, 6, dispatch::LossState::ServiceOnly, 70ms }, { 99, 8, 9 } },
             std::string("\0x", 2), { { 77, 22.5, base::Duration(1500) }, { 78, std::nullopt, base::Duration(0) } } }));
@@ -47,6 +48,7 @@
     LONGS_EQUAL(250, read.capacity);
     LONGS_EQUAL(1700, read.load);
     LONGS_EQUAL(800, read.demand);
+    LONGS_EQUAL(1250, read.storeAgeMs);
     LONGS_EQUAL(77, message->limits[0].upstream);
     DOUBLES_EQUAL(22.5, *message->limits[0].perSecond, 0);
     LONGS_EQUAL(1500, message->limits[0].age.count());
@@ -87,6 +89,21 @@
     LONGS_EQUAL(2, counts.at(0).at(1).get<uint32_t>());
 }
 
+// Guards against refusing the heartbeats of hosts of previous versions, and against taking a field that they lack for a
+// confirmation of the store.
+TEST(HeartbeatCodec, HeartbeatsOfPreviousVersionsStateNoAge)
+{
+    constexpr size_t previousFields = 13;
+    auto value = nlohmann::json::from_cbor(encodeHeartbeats({ { hostHeartbeat("b", "d1") }, {}, {} }));
+    auto& heartbeat = value.at(0).at(0);
+    heartbeat.erase(heartbeat.begin() + previousFields, heartbeat.end());
+    std::string bytes;
+    nlohmann::json::to_cbor(value, bytes);
+    auto message = decode(bytes);
+    CHECK_TRUE(message.has_value());
+    CHECK_TRUE(message->heartbeats.front().storeAgeMs == Heartbeat::unknownStoreAge);
+}
+
 // Guards against a process that exits because of a deeply nested datagram.
 TEST(HeartbeatCodec, DeeplyNestedMessagesAreRefused)
 {
