dispatch: Choose upstreams by learned time and cost of a failure

The present choice uses a mean of the latency, a fixed factor for each request in flight and consecutive failures, so that one timely answer erases the history of an upstream that fails four in ten, and upstreams that slow down long before they are full get as much as others.

UpstreamEstimate holds the response time alone and its growth with the requests in flight (a fit that is drawn to the figures of the service), the deviation at this moment, the failure rate, and what the upstream states of its load, weighed by how well its answers agree with it. With ChoiceInputs::learned, chooseUpstream() takes the least expected time plus failure rate times the cost of a failure, and probes upstreams that only their own evidence keeps from being chosen. Without it the choice is as before.

--- a/Source/papayabend/dispatch/ChooseUpstream.cpp
+++ b/Source/papayabend/dispatch/ChooseUpstream.cpp
@@ -30,10 +30,19 @@
     // Links between failure domains cost more: an upstream in another one is chosen only if it is faster by this
     // factor.
     constexpr double remoteFactor = 1.25;
+
     // Share of the expected latency by which each request in flight delays the next one; below 1, since upstreams run
     // several requests in parallel.
     constexpr double inFlightShare = 0.5;
     constexpr double warmUpFactor = 1.6;
+    // Cost of a failure as shares of the time left until the objective: a repeated request still uses an attempt more,
+    // which loads the other upstreams; one that cannot be repeated misses the objective.
+    constexpr double repeatedFailureShare = 0.25;
+    constexpr double finalFailureShare = 2;
+    // A request that takes this many times as long as a new one is expected to take shows a stalled upstream.
+    constexpr double stallFactor = 2;
+    // Least age of the newest evidence before an upstream is probed; it is slow for about half a second at a time.
+    constexpr base::Duration minProbeAge { std::chrono::milliseconds(250) };
 
     /** Returns the latency ratio as of \a now; it decays towards 1 after the newest sample. */
     double decayedLatencyRatio(const UpstreamLoad& load, base::TimePoint now)
@@ -60,6 +69,70 @@
         return result;
     }
 
+    /** Returns the median latency in microseconds, at least one millisecond. */
+    double medianOf(const ChoiceInputs& inputs)
+    {
+        return static_cast<double>(std::max<int64_t>(inputs.medianLatency.count(), 1000));
+    }
+
+    /** Returns the expected time in microseconds, which is \a time for an upstream that is near, warm and connected. An
+     * upstream with a request in flight for longer than \a stallTime is regarded as stalled. */
+    double timeOf(const Candidate& candidate, const ChoiceInputs& inputs, double time, base::Duration stallTime)
+    {
+        const auto& load = *candidate.load;
+        auto medianLatency = medianOf(inputs);
+        if (candidate.isRemote)
+            time *= remoteFactor;
+        if (candidate.entry->record.warmUpLeft > inputs.now - candidate.entry->reportedAt)
+            time *= warmUpFactor;
+        if (load.idleConnections == 0)
+            time += static_cast<double>(connectTime.count());
+        if (load.idleConnections == 0 && load.openConnections >= connectionLimit(load, inputs.now))
+            time += medianLatency * (1 + load.waiting);
+        if (!load.sentAt.empty()) {
+            auto oldest = inputs.now - load.sentAt.front();
+            if (oldest > stallTime)
+                time += 4 * medianLatency + static_cast<double>(oldest.count());
+        }
+        return time;
+    }
+
+    /** Returns the expected time and cost of a failure, as far as \a expectation goes. */
+    base::Duration expectedCost(const Candidate& candidate, const ChoiceInputs& inputs, const Expectation& expectation)
+    {
+        auto share = inputs.learned->isRepeatable ? repeatedFailureShare : finalFailureShare;
+        auto objectiveLeft = std::max<int64_t>(inputs.learned->objectiveLeft.count(), 0);
+        auto failureCost = static_cast<double>((inputs.hedgeDelay + inputs.medianLatency).count())
+            + share * static_cast<double>(objectiveLeft);
+        auto time = medianOf(inputs) * expectation.latencyRatio();
+        // Where requests queue, all of them take longer than the usual delay of a hedge.
+        auto stallTime = std::max(inputs.hedgeDelay, base::Duration(static_cast<int64_t>(stallFactor * time)));
+        time = timeOf(candidate, inputs, time, stallTime) + expectation.failureRate * failureCost;
+        return base::Duration(static_cast<int64_t>(time));
+    }
+
+    /** Returns whether only the evidence about the candidate keeps it from being chosen instead of one that costs \a
+     * best. */
+    bool isProbeDue(
+        const Candidate& candidate, const ServiceMean& service, const ChoiceInputs& inputs, base::Duration best)
+    {
+        const auto& load = *candidate.load;
+        if (load.estimate.passedOver < probeInterval || !load.sentAt.empty() || load.waiting > 0
+            || inputs.now - load.estimate.newestAt < minProbeAge)
+            return false;
+        Expectation usual { .steadyRatio = service.latencyRatio, .failureRate = service.failureRate };
+        return expectedCost(candidate, inputs, usual) <= best;
+    }
+
+}
+
+void beginProcess(UpstreamLoad& load, const discovery::UpstreamRecord& record)
+{
+    if (!beginProcess(load.estimate, record))
+        return;
+    load.failurePauseUntil = {};
+    load.consecutiveFailures = 0;
+    load.fullUntil = {};
 }
 
 void addLatency(UpstreamLoad& load, base::Duration latency, base::Duration medianLatency, base::TimePoint now)
@@ -123,41 +196,56 @@
 base::Duration expectedTime(const Candidate& candidate, const ChoiceInputs& inputs)
 {
     const auto& load = *candidate.load;
-    auto medianLatency = static_cast<double>(std::max<int64_t>(inputs.medianLatency.count(), 1000));
     auto inFlight = static_cast<double>(load.sentAt.size() + load.waiting);
-    auto time = medianLatency * decayedLatencyRatio(load, inputs.now) * (1 + inFlightShare * inFlight);
-    if (candidate.isRemote)
-        time *= remoteFactor;
-    if (candidate.entry->record.warmUpLeft > inputs.now - candidate.entry->reportedAt)
-        time *= warmUpFactor;
-    if (load.idleConnections == 0)
-        time += static_cast<double>(connectTime.count());
-    if (load.idleConnections == 0 && load.openConnections >= connectionLimit(load, inputs.now))
-        time += medianLatency * (1 + load.waiting);
-    if (!load.sentAt.empty()) {
-        auto oldest = inputs.now - load.sentAt.front();
-        if (oldest > inputs.hedgeDelay)
-            time += 4 * medianLatency + static_cast<double>(oldest.count());
-    }
-    return base::Duration(static_cast<int64_t>(time));
+    auto time = medianOf(inputs) * decayedLatencyRatio(load, inputs.now) * (1 + inFlightShare * inFlight);
+    return base::Duration(static_cast<int64_t>(timeOf(candidate, inputs, time, inputs.hedgeDelay)));
+}
+
+ServiceMean serviceMean(std::span<const Candidate> candidates, base::TimePoint now)
+{
+    std::vector<const UpstreamEstimate*> estimates;
+    estimates.reserve(candidates.size());
+    std::ranges::transform(
+        candidates, std::back_inserter(estimates), [](const auto& it) { return &it.load->estimate; });
+    return serviceMean(estimates, now);
+}
+
+Expectation expectationOf(const Candidate& candidate, const ServiceMean& service, base::TimePoint now)
+{
+    const auto& load = *candidate.load;
+    return expect(load.estimate, service, static_cast<double>(load.sentAt.size() + load.waiting), now);
 }
 
 std::optional<size_t> chooseUpstream(std::span<const Candidate> candidates, const ChoiceInputs& inputs)
 {
     std::optional<size_t> best;
     std::pair<int, base::Duration> bestRank;
+    auto service = inputs.learned ? serviceMean(candidates, inputs.now) : ServiceMean {};
     auto hasListed = std::ranges::any_of(candidates, [](const auto& it) { return isListed(*it.entry); });
+    auto isPossible = [&](const Candidate& it) {
+        auto hasLeft = hasListed && it.entry->presence == discovery::Presence::Missing;
+        return !hasLeft && isUsable(it, inputs.now);
+    };
     for (size_t n = 0; n < candidates.size(); ++n) {
         const auto& candidate = candidates[n];
-        auto hasLeft = hasListed && candidate.entry->presence == discovery::Presence::Missing;
-        if (hasLeft || !isUsable(candidate, inputs.now))
+        if (!isPossible(candidate))
             continue;
-        std::pair rank { preferenceClass(candidate, inputs.now), expectedTime(candidate, inputs) };
+        auto time = inputs.learned ? expectedCost(candidate, inputs, expectationOf(candidate, service, inputs.now))
+                                   : expectedTime(candidate, inputs);
+        std::pair rank { preferenceClass(candidate, inputs.now), time };
         if (!best || rank < bestRank) {
             best = n;
             bestRank = rank;
         }
     }
+    if (!best || !inputs.learned || !inputs.learned->mayProbe)
+        return best;
+    for (size_t n = 0; n < candidates.size(); ++n) {
+        const auto& candidate = candidates[n];
+        if (n != *best && isPossible(candidate) && preferenceClass(candidate, inputs.now) == 0
+            && isProbeDue(candidate, service, inputs, bestRank.second))
+            return n;
+    }
     return best;
 }
 
--- a/Source/papayabend/dispatch/ChooseUpstream.h
+++ b/Source/papayabend/dispatch/ChooseUpstream.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/Time.h"
 #include "papayabend/discovery/UpstreamDirectory.h"
+#include "papayabend/dispatch/UpstreamEstimate.h"
 
 #include <cstdint>
 #include <optional>
@@ -31,6 +32,7 @@
     uint32_t consecutiveRefusals { 0 }; /**< Connections refused in a row while no other one was open. */
     base::TimePoint connectPauseUntil {}; /**< End of the pause after those refusals. */
     uint32_t waiting { 0 }; /**< Requests that wait for a connection. */
+    UpstreamEstimate estimate; /**< Used only where ChoiceInputs::learned is set. */
 };
 
 /** \struct Candidate
@@ -46,6 +48,15 @@
     }; /**< What it says about itself allows no such attempt now: its limit, a pause, its end. */
 };
 
+/** \struct LearnedChoice
+ * \brief What a request bears, for the choice by learned estimates.
+ */
+struct LearnedChoice {
+    base::Duration objectiveLeft { 0 }; /**< Time until the answer is late. */
+    bool isRepeatable { false }; /**< A failed attempt may be followed by another one. */
+    bool mayProbe { false }; /**< It may go to an upstream that is not expected to be the best. */
+};
+
 /** \struct ChoiceInputs
  * \brief Figures of the route that the choice depends on.
  */
@@ -53,8 +64,13 @@
     base::Duration medianLatency { 0 }; /**< Of the route's attempts. */
     base::Duration hedgeDelay { 0 }; /**< An upstream with a request in flight for longer is regarded as stalled. */
     base::TimePoint now;
+    std::optional<LearnedChoice> learned {}; /**< Set if upstreams are chosen by UpstreamEstimate. */
 };
 
+/** Drops what this host has learned of the upstream, and its pause after failures, if \a record belongs to another
+ * process than the last one. Called only where upstreams are chosen by UpstreamEstimate. */
+void beginProcess(UpstreamLoad&, const discovery::UpstreamRecord& record);
+
 /** Records the latency of an answer, and ends the pauses after failures and refused connections. */
 void addLatency(UpstreamLoad&, base::Duration latency, base::Duration medianLatency, base::TimePoint now);
 
@@ -77,6 +93,9 @@
 /** Records that another upstream answered at the address of this one. */
 void addMisdirection(UpstreamLoad&, base::TimePoint now);
 
+/** Requests that another upstream gets before one probes an upstream that would not be chosen by its estimate. */
+constexpr uint32_t probeInterval = 20;
+
 /** Returns whether the request may be sent to the upstream: not if it was tried or is draining, gone, misdirected or
  * held back. */
 bool isUsable(const Candidate&, base::TimePoint now);
@@ -91,10 +110,20 @@
 /** Returns the time after which the candidate is expected to answer. */
 base::Duration expectedTime(const Candidate&, const ChoiceInputs&);
 
+/** Returns the figures to which the estimates of the candidates are drawn. */
+ServiceMean serviceMean(std::span<const Candidate>, base::TimePoint now);
+
+/** Returns what the estimate of the candidate says of a request that is sent now. */
+Expectation expectationOf(const Candidate&, const ServiceMean&, base::TimePoint now);
+
 /** Returns the index of the usable candidate with the shortest expected time, or nothing if no candidate is usable.
  *
  * Upstreams that are paused after failures are chosen only if there is no other one, missing ones only if all listed
  * ones are draining.
+ *
+ * With ChoiceInputs::learned, the expected time follows from the estimates, and the cost of a failure is added to it. A
+ * request that may probe goes to an upstream that only its own evidence keeps from being chosen, once in probeInterval
+ * requests.
  */
 std::optional<size_t> chooseUpstream(std::span<const Candidate>, const ChoiceInputs&);
 
