platform: Decode the load that upstreams state

Some upstreams state with each answer the requests that run and wait there, their slots, and how long work takes now, in percent of the usual time. The field is decoded into dispatch::StatedLoad; a value that is malformed or that no upstream can mean is ignored with a problem entry.

--- a/Source/papayabend/gateway/PlatformAdapter.h
+++ b/Source/papayabend/gateway/PlatformAdapter.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/LastReason.h"
 #include "papayabend/discovery/UpstreamDirectory.h"
+#include "papayabend/dispatch/UpstreamEstimate.h"
 #include "papayabend/gateway/HttpMessage.h"
 #include "papayabend/routes/Configuration.h"
 
@@ -61,6 +62,7 @@
     bool isLimitReadable { true }; /**< False if it names a limit that cannot be read. */
     bool isLeaving { false }; /**< It will end and wants no further request. */
     std::optional<base::Duration> pause; /**< Time for which it wants nothing from this host. */
+    std::optional<dispatch::StatedLoad> statedLoad;
     std::vector<std::string> problems; /**< Fields that cannot be used, each with the reason. */
 };
 
--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -209,3 +209,26 @@
         LONGS_EQUAL(1, reportOf(200, "Server-Leaving", text).problems.size());
     }
 }
+
+// Guards against a choice of upstreams that follows figures which no upstream can mean.
+TEST(Decode, StatedLoadOfAnUpstream)
+{
+    auto reportOf = [](const std::string& text) {
+        gateway::HttpResponse answer;
+        answer.insert("X-Papayabend-Server-Load", text);
+        return platform::parseUpstreamReport(answer);
+    };
+    auto load = reportOf("3, 12,6,250").statedLoad;
+    LONGS_EQUAL(3, load->running);
+    LONGS_EQUAL(12, load->waiting);
+    LONGS_EQUAL(6, load->slots);
+    DOUBLES_EQUAL(2.5, *load->workRatio, 1e-9);
+    DOUBLES_EQUAL(1.125, *reportOf("0,0,1,112.5").statedLoad->workRatio, 1e-9);
+    CHECK_FALSE(reportOf("1,0,2").statedLoad->workRatio.has_value());
+    for (const auto* text : { "", ",", "1,0", "1,0,2,100,5", "1,0,2,", "a,0,2", "-1,0,2", "1,0,0", "3,0,2", "1,70000,2",
+             "1,0,99999999999", "1,0,2,0", "1,0,2,-5", "1,0,2,nan", "1,0,2,inf", "1,0,2,20000", "1.5,0,2", "1;0;2" }) {
+        CHECK_FALSE(reportOf(text).statedLoad.has_value());
+        LONGS_EQUAL(1, reportOf(text).problems.size());
+    }
+    CHECK_FALSE(platform::parseUpstreamReport({}).statedLoad.has_value());
+}
