gateway: Choose upstreams by estimates if the settings say so

routing.learnsCapacity (default false) makes the gateway feed dispatch::UpstreamEstimate with the result of each attempt and with the load that upstreams state, and choose by it. A success without signature counts as a failure, as it does for the request; an attempt carries the estimate by which it was chosen, so that results of an earlier process are told apart.

The legs of a request line state this estimate with its age. Gauges upstreams_slow and upstreams_failing count upstreams by it; upstream_report_problems_total counts what upstreams state and what cannot be used.

--- a/Source/papayabend/gateway/Attempt.h
+++ b/Source/papayabend/gateway/Attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayabend/base/Time.h"
+#include "papayabend/dispatch/UpstreamEstimate.h"
 #include "papayabend/gateway/HttpCall.h"
 
 #include <functional>
@@ -21,6 +22,8 @@
     bool needsFreshConnection { false };
     /** Numbers of the connections on which earlier attempts of the request were sent; it is not sent on these. */
     std::vector<uint64_t> usedConnections;
+    /** What the estimate of the upstream said when it was chosen; set if upstreams are chosen by estimates. */
+    std::optional<dispatch::Expectation> expected;
     base::TimePoint createdAt {};
     base::TimePoint sentAt {}; /**< Default value until the request is handed to a connection. */
     bool isEnded { false };
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -159,19 +159,25 @@
     if (m_state.suspects.isRefused(m_fingerprint, now))
         return false;
     std::vector<dispatch::Candidate> candidates;
+    std::vector<dispatch::UpstreamLoad*> loads;
     bool hasUndrained = false;
     auto entries = m_state.content.upstreams().of(subrequest.service);
     subrequest.usable = dispatch::countUsable(entries);
     candidates.reserve(entries.size());
+    loads.reserve(entries.size());
     for (const auto* entry : entries) {
         auto isTried = std::ranges::find(subrequest.tried, entry->record.id) != subrequest.tried.end();
         auto isRemote = entry->record.failureDomain != m_state.settings.host.failureDomain;
-        candidates.push_back({ entry, &m_state.pool.load(entry->record.id), isTried, isRemote,
-            isHeldBack(entry->record, isHedge, now) });
+        auto& load = m_state.pool.load(entry->record.id);
+        if (m_state.settings.routing.learnsCapacity)
+            dispatch::beginProcess(load, entry->record);
+        loads.push_back(&load);
+        candidates.push_back({ entry, &load, isTried, isRemote, isHeldBack(entry->record, isHedge, now) });
         hasUndrained = hasUndrained || (!entry->record.isDraining && entry->presence == discovery::Presence::Listed);
     }
     auto medianLatency = base::Duration(static_cast<int64_t>(m_latency->median));
-    auto choice = dispatch::chooseUpstream(candidates, { medianLatency, m_hedgeDelay, now });
+    auto choice
+        = dispatch::chooseUpstream(candidates, { medianLatency, m_hedgeDelay, now, learnedChoice(subrequest, now) });
     if (!choice && !hasUndrained) {
         auto it = std::ranges::find_if(candidates, [now](const auto& each) {
             return !each.isTried && !each.isHeldBack && each.entry->presence == discovery::Presence::Listed
@@ -196,6 +202,7 @@
     if (!m_state.gate.limits.isEmpty())
         m_state.gate.limits.take(dispatch::keyOf(record), m_state.gate.limitShare, now);
     auto attempt = createAttempt(subrequest, record);
+    recordChoice(subrequest, candidates, loads, *choice, *attempt);
     subrequest.tried.push_back(record.id);
     subrequest.attempts.push_back(attempt);
     ++subrequest.history.inFlight;
@@ -252,6 +259,8 @@
     auto now = base::BootClock::now();
     auto& load = m_state.pool.load(attempt.upstream);
     auto& latency = *m_latency;
+    if (result.end != CallEnd::Answered)
+        recordEstimate(attempt, result, std::nullopt);
     if (result.end == CallEnd::NotSent) {
         ++(attempt.isSent() ? subrequest.history.provenNotRun : subrequest.history.unsent);
         if (!m_isFinished)
@@ -272,7 +281,7 @@
     auto status = result.answer.result_int();
     // Another upstream answers with 421; it says nothing about the one that the attempt was meant for.
     if (status != 421)
-        recordUpstreamReport(subrequest, attempt, result.answer);
+        recordEstimate(attempt, result, recordUpstreamReport(subrequest, attempt, result.answer));
     auto hasNotRun = status == 421 || !fieldOf(result.answer, m_state.adapter.headers.notExecuted).empty();
     if (hasNotRun) {
         ++subrequest.history.provenNotRun;
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -51,6 +51,8 @@
         dispatch::SubrequestHistory history;
         std::vector<std::shared_ptr<Attempt>> attempts; /**< Attempts that have not ended. */
         std::vector<std::string> tried; /**< Ids of upstreams that are not chosen again. */
+        /** Ids of upstreams with the newest estimate by which each was chosen. */
+        std::vector<std::pair<std::string, dispatch::Expectation>> estimates;
         std::vector<uint64_t> usedConnections; /**< Numbers of the connections on which attempts were sent. */
         size_t usable { 0 }; /**< Usable upstreams of the service when one was last chosen. */
         HttpResponse answer;
@@ -97,8 +99,20 @@
     /** Returns whether the request may end the upstreams that run it, so that it has to wait until the attempts in
      * flight have ended; sets the time of the next try. */
     bool holdSuspect(Subrequest&, base::TimePoint now);
-    /** Records what the upstream has said about itself in its answer, and logs changes. */
-    void recordUpstreamReport(const Subrequest&, const Attempt&, const HttpResponse&);
+    /** Records what the upstream has said about itself in its answer, and logs changes. Returns the load that it
+     * states. */
+    std::optional<dispatch::StatedLoad> recordUpstreamReport(const Subrequest&, const Attempt&, const HttpResponse&);
+    /** Returns what the next attempt bears, if upstreams are chosen by estimates. */
+    std::optional<dispatch::LearnedChoice> learnedChoice(const Subrequest&, base::TimePoint now) const;
+    /** Records which of the candidates was chosen, and by which estimate. \a loads: of the candidates. */
+    void recordChoice(Subrequest&, std::span<const dispatch::Candidate>, std::span<dispatch::UpstreamLoad* const> loads,
+        size_t chosen, Attempt&) const;
+    /** Updates the estimate of the upstream with the result of an attempt. */
+    void recordEstimate(const Attempt&, const CallResult&, const std::optional<dispatch::StatedLoad>&);
+    /** Returns what the attempt shows of the upstream, if anything. */
+    std::optional<dispatch::AttemptEnd> observedEnd(const CallResult&) const;
+    /** Returns the estimate by which the upstream was chosen, for the log. */
+    static std::string describeEstimate(const Subrequest&, const std::string& upstream);
     /** Accepts an upstream's answer or retries. Answers with a content encoding are not accepted. A signed success is
      * accepted, in a fan-out unless its signature was seen before. For a single service, a status of 300 to 499 is also
      * accepted unless it means that the request has not run. */
--- a/Source/papayabend/gateway/ExchangeAnswer.cpp
+++ b/Source/papayabend/gateway/ExchangeAnswer.cpp
@@ -229,7 +229,7 @@
         text += " after " + std::to_string(subrequest.history.sent) + " sent, "
             + std::to_string(subrequest.history.provenNotRun + subrequest.history.unsent) + " not run";
         for (const auto& id : subrequest.tried)
-            text += ' ' + id;
+            text += ' ' + id + describeEstimate(subrequest, id);
         if (!subrequest.lastReason.empty())
             text += " (" + subrequest.lastReason + ')';
         if (subrequest.lacksBudget)
--- a/Source/papayabend/gateway/ExchangeGate.cpp
+++ b/Source/papayabend/gateway/ExchangeGate.cpp
@@ -38,11 +38,12 @@
     return base::Duration(0);
 }
 
-void Exchange::recordUpstreamReport(const Subrequest& subrequest, const Attempt& attempt, const HttpResponse& answer)
+std::optional<dispatch::StatedLoad> Exchange::recordUpstreamReport(
+    const Subrequest& subrequest, const Attempt& attempt, const HttpResponse& answer)
 {
     const auto* entry = m_state.content.upstreams().find(attempt.upstream);
     if (!entry)
-        return;
+        return std::nullopt;
     auto now = base::BootClock::now();
     auto report = m_state.adapter.parseUpstreamReport(answer);
     auto fields = [&] {
@@ -53,6 +54,7 @@
     auto log = [&](std::string_view event, const LogFields& line) {
         m_state.log.write(LineClass::Change, event, line, now);
     };
+    m_state.reportProblems += report.problems.size();
     for (const auto& problem : report.problems)
         log("refused", fields().add("reason", problem));
     auto key = dispatch::keyOf(entry->record);
@@ -71,6 +73,7 @@
         m_state.gate.holds.addPause(key, *report.pause, m_state.random, now);
         m_state.pool.rejectWaiting(attempt.upstream, "the upstream has asked for a pause");
     }
+    return report.statedLoad;
 }
 
 bool Exchange::admitDuringStop(base::TimePoint endsAt, base::TimePoint now)
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -382,6 +382,11 @@
     gauge("upstreams_leaving", m_state.gate.holds.countLeaving());
     gauge("upstreams_paused", m_state.gate.holds.countPaused(now));
     gauge("upstreams_limited", m_state.gate.limits.count(now));
+    gauge("upstreams_slow",
+        m_state.pool.countLoads([now](const auto& it) { return dispatch::isSlow(it.estimate, now); }));
+    gauge("upstreams_failing",
+        m_state.pool.countLoads([now](const auto& it) { return dispatch::isFailing(it.estimate, now); }));
+    counter("upstream_report_problems_total", m_state.reportProblems);
     gauge("upstream_connections", m_state.pool.openConnections());
     size_t connections = 0;
     size_t requests = 0;
--- a/Source/papayabend/gateway/GatewaySettings.cpp
+++ b/Source/papayabend/gateway/GatewaySettings.cpp
@@ -44,6 +44,8 @@
     keys.number("attemptsPerCore", answers.attemptsPerCore, 10, 1'000'000);
 }
 
+static void visit(auto& keys, UpstreamChoiceSettings& choice) { keys.flag("learnsCapacity", choice.learnsCapacity); }
+
 static void visit(auto& keys, TableSettings& table) { keys.text("file", table.file); }
 
 static void visit(auto& keys, EventLogSettings& log)
@@ -62,6 +64,7 @@
     keys.section("retryBudget", settings.retryBudget);
     keys.section("stop", settings.stop);
     keys.section("entryAnswers", settings.entryAnswers);
+    keys.section("routing", settings.routing);
     keys.section("table", settings.table);
     keys.section("log", settings.log);
 }
--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -76,6 +76,13 @@
     uint32_t attemptsPerCore { 6000 };
 };
 
+/** \struct UpstreamChoiceSettings
+ * \brief Choice of the upstream for each attempt.
+ */
+struct UpstreamChoiceSettings {
+    bool learnsCapacity { false }; /**< Chooses by dispatch::UpstreamEstimate. */
+};
+
 /** \struct TableSettings
  * \brief The table of weights and limits of client accounts.
  */
@@ -103,6 +110,7 @@
     BudgetSettings retryBudget;
     StopSettings stop;
     EntryAnswerSettings entryAnswers;
+    UpstreamChoiceSettings routing;
     TableSettings table;
     EventLogSettings log;
 };
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -58,6 +58,7 @@
     /** Weights and limits of the client accounts; nullptr if all requests belong to one account. */
     std::shared_ptr<const table::Table> table;
     dispatch::AccountRates rates;
+    uint64_t reportProblems { 0 }; /**< Fields of answers in which upstreams state what cannot be used. */
     /** Open requests. */
     std::unordered_map<const Exchange*, std::weak_ptr<Exchange>> exchanges;
     /** End of a planned stop, by which every request is answered; empty while no stop is planned. */
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -370,4 +370,10 @@
     return sum;
 }
 
+size_t UpstreamPool::countLoads(const std::function<bool(const dispatch::UpstreamLoad&)>& matches) const
+{
+    return static_cast<size_t>(
+        std::ranges::count_if(m_upstreams, [&](const auto& it) { return matches(it.second->load); }));
+}
+
 }
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -70,6 +70,8 @@
 
     const PoolCounters& counters() const { return m_counters; }
     size_t openConnections() const;
+    /** Returns for how many upstreams \a matches returns true. */
+    size_t countLoads(const std::function<bool(const dispatch::UpstreamLoad&)>& matches) const;
 
 private:
     struct Upstream {
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -39,6 +39,8 @@
     UpstreamReport report { .requestLimit = number("X-Limit"), .isLeaving = number("X-Leaving").has_value() };
     if (auto seconds = number("X-Pause"))
         report.pause = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(*seconds));
+    if (auto ratio = number("X-Work"))
+        report.statedLoad = { 1, 0, 6, *ratio };
     return report;
 }
 
@@ -747,3 +749,39 @@
     LONGS_EQUAL(3, arrivals());
     CHECK_TRUE(other.requests.size() > 0);
 }
+
+// Guards against an upstream whose answers cannot be used and that is counted as good because of their status, and
+// against stated load that does not reach the estimate.
+TEST(Exchange, ResultsOfAttemptsReachTheEstimate)
+{
+    state->settings.routing.learnsCapacity = true;
+    auto& unsignedOne = addUpstream("desk", Behaviour::Answer);
+    unsignedOne.signature.clear();
+    addUpstream("desk", Behaviour::Answer).fields = "X-Work: 2.5\r\n";
+    addRoute("/look/", true);
+    publish();
+    for (int n = 0; n < 4; ++n) {
+        begin("/look/1");
+        CHECK_EQUAL(200U, runToAnswer());
+    }
+    CHECK_TRUE(state->pool.load("u1").estimate.failures > 0);
+    const auto& good = state->pool.load("u2").estimate;
+    CHECK_TRUE(good.attempts > 3);
+    DOUBLES_EQUAL(0, good.failures, 0);
+    DOUBLES_EQUAL(2.5, *good.stated->workRatio, 0);
+    LONGS_EQUAL(0, good.passedOver);
+}
+
+// Guards against a choice that changes although the settings do not ask for it.
+TEST(Exchange, NothingIsLearnedByDefault)
+{
+    addUpstream("desk", Behaviour::Answer).fields = "X-Work: 2.5\r\n";
+    addRoute("/look/", true);
+    publish();
+    begin("/look/1");
+    CHECK_EQUAL(200U, runToAnswer());
+    const auto& estimate = state->pool.load("u1").estimate;
+    CHECK_FALSE(estimate.stated.has_value());
+    DOUBLES_EQUAL(0, estimate.attempts, 0);
+    LONGS_EQUAL(0, estimate.generation);
+}
--- a/Tests/gateway/GatewaySettingsTest.cpp
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -59,3 +59,12 @@
     CHECK_FALSE(readTable({ "/nowhere/table.csv" }, reason).has_value());
     CHECK_TRUE(reason.text.find("/nowhere/table.csv") != std::string::npos);
 }
+
+// Guards against a host that chooses upstreams in another way than before without being told to.
+TEST(GatewaySettings, CapacityIsLearnedOnlyIfTheSettingsSaySo)
+{
+    CHECK_FALSE(parse("")->routing.learnsCapacity);
+    auto learning = parse(R"(, "routing": { "learnsCapacity": true })");
+    CHECK_TRUE(learning->routing.learnsCapacity);
+    CHECK_TRUE(parseGatewaySettings(toJson(*learning), "f.json", reason)->routing.learnsCapacity);
+}
