--- a/Tests/dispatch/LearnedCapacityTest.cpp
+++ b/Tests/dispatch/LearnedCapacityTest.cpp
@@ -1,7 +1,6 @@
 #include "dispatch/UpstreamSimulation.h"
 
 #include <CppUTest/TestHarness.h>
-#include <cstdio>
 
 using namespace papayabend;
 using namespace papayabend::dispatch;
@@ -14,15 +13,6 @@
     Outcome present;
     Outcome learned;
 
-    static void print(const char* name, const Outcome& outcome)
-    {
-        std::printf("\n%s: %zu requests, in time %.4f, whole %.4f, attempts %.3f, mean %.1f ms, sent", name,
-            outcome.requests, outcome.inTimeShare(), outcome.wholeShare(), outcome.attemptsPerRequest(),
-            outcome.totalMs / static_cast<double>(outcome.inTime + outcome.late));
-        for (auto count : outcome.sent)
-            std::printf(" %zu", count);
-    }
-
     void playPresent(const Scenario& scenario)
     {
         present = playSeeds(scenario, presentPolicy, seeds);
--- a/Tests/dispatch/UpstreamSimulation.cpp
+++ b/Tests/dispatch/UpstreamSimulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 namespace papayabend::dispatch::simulation {
 
@@ -419,4 +420,13 @@
     return sum;
 }
 
+void print(const char* name, const Outcome& outcome)
+{
+    std::printf("\n%s: %zu requests, in time %.4f, whole %.4f, attempts %.3f, mean %.1f ms, sent", name,
+        outcome.requests, outcome.inTimeShare(), outcome.wholeShare(), outcome.attemptsPerRequest(),
+        outcome.totalMs / static_cast<double>(outcome.inTime + outcome.late));
+    for (auto count : outcome.sent)
+        std::printf(" %zu", count);
+}
+
 }
--- a/Tests/dispatch/UpstreamSimulation.h
+++ b/Tests/dispatch/UpstreamSimulation.h
@@ -76,4 +76,7 @@
 /** Adds up the runs of \a count seeds. */
 Outcome playSeeds(const Scenario&, const PolicyFactory&, uint64_t count);
 
+/** Prints the totals to standard output. */
+void print(const char* name, const Outcome&);
+
 }
