--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -80,6 +80,13 @@
     bool prefersStrongHosts { false }; /**< Weak hosts are named only if the strong ones do not suffice. */
 };
 
+/** \struct UpstreamChoiceSettings
+ * \brief Choice of the upstream for each attempt.
+ */
+struct UpstreamChoiceSettings {
+    bool learnsCapacity { false }; /**< Chooses by dispatch::UpstreamEstimate. */
+};
+
 /** \struct TableSettings
  * \brief The table of weights and limits of client accounts.
  */
@@ -107,6 +114,7 @@
     BudgetSettings retryBudget;
     StopSettings stop;
     EntryAnswerSettings entryAnswers;
+    UpstreamChoiceSettings routing;
     TableSettings table;
     EventLogSettings log;
 };
--- a/Tests/gateway/GatewaySettingsTest.cpp
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -71,3 +71,12 @@
     CHECK_TRUE(validityOf(set->entryAnswers, set->stop).calmTimeToLive == std::chrono::seconds(5));
     CHECK_TRUE(servingOf(set->entryAnswers).prefersStrongHosts);
 }
+
+// Guards against a host that chooses upstreams in another way than before without being told to.
+TEST(GatewaySettings, CapacityIsLearnedOnlyIfTheSettingsSaySo)
+{
+    CHECK_FALSE(parse("")->routing.learnsCapacity);
+    auto learning = parse(R"(, "routing": { "learnsCapacity": true })");
+    CHECK_TRUE(learning->routing.learnsCapacity);
+    CHECK_TRUE(parseGatewaySettings(toJson(*learning), "f.json", reason)->routing.learnsCapacity);
+}
