--- a/Source/papayabend/cli/Explain.cpp
+++ b/Source/papayabend/cli/Explain.cpp
@@ -46,6 +46,8 @@
             knownState.upstreams[line.value("upstream", "")] = line;
         else if (event == "lost" || event == "regained")
             knownState.states["dependency " + line.value("dependency", "")] = line;
+        else if (event == "evacuation")
+            knownState.states["evacuation " + line.value("failureDomain", "")] = line;
         else if (std::ranges::find(stateEvents, event) != stateEvents.end())
             knownState.states[event] = line;
     }
--- a/Source/papayabend/dispatch/ChooseUpstream.cpp
+++ b/Source/papayabend/dispatch/ChooseUpstream.cpp
@@ -43,15 +43,12 @@
         return 1 + (load.latencyRatio - 1) * std::exp2(-std::max(age, 0.0));
     }
 
-    bool isListed(const discovery::UpstreamEntry& entry)
-    {
-        return entry.presence == discovery::Presence::Listed && !entry.record.isDraining;
-    }
-
     /** Returns the preference class of a candidate: 0 is the best; the candidates of the lowest class are preferred. */
     int preferenceClass(const Candidate& candidate, base::TimePoint now)
     {
         auto result = candidate.entry->presence == discovery::Presence::Missing ? 4 : 0;
+        if (candidate.entry->record.isDraining)
+            result += 8;
         auto isUnreachable = candidate.load->openConnections == 0 && !acceptsConnections(*candidate.load, now);
         if (candidate.load->failurePauseUntil > now || isUnreachable)
             result += 2;
@@ -105,19 +102,11 @@
 
 void addMisdirection(UpstreamLoad& load, base::TimePoint now) { load.misdirectedUntil = now + misdirectionPause; }
 
-bool isUsable(const Candidate& candidate, base::TimePoint now)
-{
-    return !candidate.isTried && !candidate.isHeldBack && !candidate.entry->record.isDraining
-        && candidate.entry->presence != discovery::Presence::Gone && candidate.load->misdirectedUntil <= now;
-}
-
-size_t countUsable(std::span<const discovery::UpstreamEntry* const> entries)
+bool isUsable(const Candidate& candidate, bool hasListed, base::TimePoint now)
 {
-    auto hasListed = std::ranges::any_of(entries, [](const auto* it) { return isListed(*it); });
-    return static_cast<size_t>(std::ranges::count_if(entries, [hasListed](const auto* it) {
-        return it->presence == discovery::Presence::Listed
-            || (it->presence == discovery::Presence::Missing && !hasListed);
-    }));
+    if (candidate.isTried || candidate.isHeldBack)
+        return false;
+    return reasonByListing({ *candidate.entry, candidate.load->misdirectedUntil }, hasListed, now) == GateReason::None;
 }
 
 base::Duration expectedTime(const Candidate& candidate, const ChoiceInputs& inputs)
@@ -149,8 +138,7 @@
     auto hasListed = std::ranges::any_of(candidates, [](const auto& it) { return isListed(*it.entry); });
     for (size_t n = 0; n < candidates.size(); ++n) {
         const auto& candidate = candidates[n];
-        auto hasLeft = hasListed && candidate.entry->presence == discovery::Presence::Missing;
-        if (hasLeft || !isUsable(candidate, inputs.now))
+        if (!isUsable(candidate, hasListed, inputs.now))
             continue;
         std::pair rank { preferenceClass(candidate, inputs.now), expectedTime(candidate, inputs) };
         if (!best || rank < bestRank) {
--- a/Source/papayabend/dispatch/ChooseUpstream.h
+++ b/Source/papayabend/dispatch/ChooseUpstream.h
@@ -2,6 +2,7 @@
 
 #include "papayabend/base/Time.h"
 #include "papayabend/discovery/UpstreamDirectory.h"
+#include "papayabend/dispatch/UpstreamGate.h"
 
 #include <cstdint>
 #include <optional>
@@ -41,9 +42,7 @@
     const UpstreamLoad* load { nullptr };
     bool isTried { false }; /**< An attempt of this request has already been sent to it. */
     bool isRemote { false }; /**< It is in another failure domain than this host. */
-    bool isHeldBack {
-        false
-    }; /**< What it says about itself allows no such attempt now: its limit, a pause, its end. */
+    bool isHeldBack { false }; /**< UpstreamGate allows no such attempt now. */
 };
 
 /** \struct ChoiceInputs
@@ -77,16 +76,9 @@
 /** Records that another upstream answered at the address of this one. */
 void addMisdirection(UpstreamLoad&, base::TimePoint now);
 
-/** Returns whether the request may be sent to the upstream: not if it was tried or is draining, gone, misdirected or
- * held back. */
-bool isUsable(const Candidate&, base::TimePoint now);
-
-/** Returns how many of the upstreams of a service a request may be sent to.
- *
- * Missing ones count only if all listed ones are draining: entries that are missing together expired during an outage
- * of the store, whereas a single missing one has left.
- */
-size_t countUsable(std::span<const discovery::UpstreamEntry* const> entries);
+/** Returns whether the request may be sent to the upstream: not if it was tried, or if the gate does not allow it.
+ * \a hasListed: see GateQuery::hasListed. */
+bool isUsable(const Candidate&, bool hasListed, base::TimePoint now);
 
 /** Returns the time after which the candidate is expected to answer. */
 base::Duration expectedTime(const Candidate&, const ChoiceInputs&);
--- a/Source/papayabend/dispatch/Subrequest.cpp
+++ b/Source/papayabend/dispatch/Subrequest.cpp
@@ -2,6 +2,30 @@
 
 namespace papayabend::dispatch {
 
+void attemptQueued(SubrequestHistory& history)
+{
+    ++history.inFlight;
+    ++history.waiting;
+}
+
+void attemptSent(SubrequestHistory& history, base::TimePoint now)
+{
+    --history.waiting;
+    ++history.sent;
+    history.lastSentAt = now;
+}
+
+void attemptEnded(SubrequestHistory& history, bool wasSent, bool hasNotRun)
+{
+    --history.inFlight;
+    if (!wasSent) {
+        --history.waiting;
+        ++history.unsent;
+    } else if (hasNotRun) {
+        ++history.provenNotRun;
+    }
+}
+
 bool mayHaveRun(const SubrequestHistory& history) { return history.sent > history.provenNotRun; }
 
 bool mayRetry(const SubrequestPolicy& policy, const SubrequestHistory& history)
@@ -10,13 +34,20 @@
         return false;
     if (history.provenNotRun + history.unsent >= policy.maxAttempts + maxUnrunAttempts)
         return false;
-    auto awaitingConnection = history.inFlight > 0 && history.sent == 0 ? 1U : 0U;
-    return history.sent - history.provenNotRun + awaitingConnection < policy.maxAttempts;
+    return history.sent - history.provenNotRun + history.waiting < policy.maxAttempts;
+}
+
+bool maySend(const SubrequestPolicy& policy, const SubrequestHistory& history)
+{
+    if (!policy.isIdempotent && mayHaveRun(history))
+        return false;
+    return history.sent - history.provenNotRun < policy.maxAttempts;
 }
 
 bool isHedgeDue(const SubrequestPolicy& policy, const SubrequestHistory& history, base::TimePoint now)
 {
-    return policy.isIdempotent && history.inFlight == 1 && history.sent > 0 && mayRetry(policy, history)
+    // lastSentAt is that of the attempt in flight only if that one has been sent.
+    return policy.isIdempotent && history.inFlight == 1 && history.waiting == 0 && mayRetry(policy, history)
         && now - history.lastSentAt >= policy.hedgeDelay;
 }
 
--- a/Source/papayabend/dispatch/UpstreamLimits.cpp
+++ b/Source/papayabend/dispatch/UpstreamLimits.cpp
@@ -96,13 +96,13 @@
     return std::min(limit.tokens + rate * std::chrono::duration<double>(now - limit.refilledAt).count(), depth);
 }
 
-base::Duration UpstreamLimits::waitFor(uint64_t key, double share, base::TimePoint now) const
+base::Duration UpstreamLimits::waitFor(uint64_t key, double share, base::TimePoint now, uint32_t waiting) const
 {
     auto it = m_limits.find(key);
     if (it == m_limits.end() || !isKnown(it->second, now))
         return base::Duration(0);
     auto rate = rateOf(*it->second.perSecond, share);
-    auto missing = 1 - tokensOf(it->second, rate, now);
+    auto missing = 1 + static_cast<double>(waiting) - tokensOf(it->second, rate, now);
     if (missing <= 0)
         return base::Duration(0);
     auto seconds = std::min(missing / rate, std::chrono::duration<double>(limitLifetime).count());
--- a/Source/papayabend/dispatch/UpstreamLimits.h
+++ b/Source/papayabend/dispatch/UpstreamLimits.h
@@ -49,8 +49,9 @@
     std::optional<double> limitOf(uint64_t key, base::TimePoint now) const;
 
     /** Returns the time until this host may send a request to the upstream; 0 if it may now. \a share: the part of the
-     * limit that this host may use, in [0, 1]. */
-    base::Duration waitFor(uint64_t key, double share, base::TimePoint now) const;
+     * limit that this host may use, in [0, 1]. \a waiting: requests that wait for a connection to the upstream and will
+     * be sent before. */
+    base::Duration waitFor(uint64_t key, double share, base::TimePoint now, uint32_t waiting = 0) const;
 
     /** Counts a request that is sent to the upstream. */
     void take(uint64_t key, double share, base::TimePoint now);
--- a/Source/papayabend/gateway/Attempt.h
+++ b/Source/papayabend/gateway/Attempt.h
@@ -26,6 +26,9 @@
     bool isEnded { false };
     /** Returns the bytes of the request; called when they are sent, because they contain the time that is left. */
     std::function<std::string(const std::string& upstream)> buildRequest;
+    /** Called when a connection is free; returns why the attempt may no longer be sent, which ends it
+     * as withheld (see CallResult), or nothing. Takes what the send uses up. */
+    std::function<std::string()> reasonNotToSend;
     std::function<void(Attempt&)> onSent; /**< Called just before the bytes are handed to the connection. */
     std::function<void(Attempt&, CallResult)> onEnd; /**< Called once. */
     std::weak_ptr<HttpConnection> connection; /**< The connection that it was sent on. */
--- a/Source/papayabend/gateway/Content.cpp
+++ b/Source/papayabend/gateway/Content.cpp
@@ -26,6 +26,8 @@
             applyConfiguration(item, now, change);
         else if (item.key.starts_with(m_adapter.upstreamPrefix))
             applyUpstream(item, now, change);
+        else if (!m_adapter.evacuationPrefix.empty() && item.key.starts_with(m_adapter.evacuationPrefix))
+            applyEvacuation(item, now, change);
     }
     return change;
 }
@@ -63,6 +65,26 @@
         change.upstreams.emplace_back(id);
 }
 
+void Content::applyEvacuation(const StoreItem& item, base::TimePoint now, ContentChange& change)
+{
+    auto failureDomain = std::string_view(item.key).substr(m_adapter.evacuationPrefix.size());
+    if (item.isRemoved)
+        return endEvacuation(failureDomain, now);
+    base::LastReason reason;
+    if (!m_adapter.parseEvacuation(item.value, reason)) {
+        change.problems.push_back(item.key + ": " + reason.text + "; the previous state stays in force");
+        return;
+    }
+    if (m_evacuations.begin(failureDomain))
+        m_changedEvacuations.emplace_back(failureDomain);
+}
+
+void Content::endEvacuation(std::string_view failureDomain, base::TimePoint now)
+{
+    if (m_evacuations.end(failureDomain, now))
+        m_changedEvacuations.emplace_back(failureDomain);
+}
+
 bool Content::retain(const std::set<std::string>& keys, uint64_t asOf, base::TimePoint now)
 {
     m_hasList = true;
@@ -70,6 +92,8 @@
     // Marks the items that the list does not contain as removed, so that this host does not send them to other hosts.
     for (auto& [key, item] : m_items) {
         if (!item.isRemoved && item.revision <= asOf && !keys.contains(key)) {
+            if (!m_adapter.evacuationPrefix.empty() && key.starts_with(m_adapter.evacuationPrefix))
+                endEvacuation(std::string_view(key).substr(m_adapter.evacuationPrefix.size()), now);
             item.isRemoved = true;
             item.revision = asOf;
             item.value.clear();
@@ -86,6 +110,7 @@
 bool Content::expire(base::TimePoint now)
 {
     discardRemovedItems();
+    m_evacuations.expire(now);
     return m_upstreams.expire(now);
 }
 
--- a/Source/papayabend/gateway/Content.h
+++ b/Source/papayabend/gateway/Content.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayabend/base/LastReason.h"
+#include "papayabend/discovery/Evacuations.h"
 #include "papayabend/discovery/UpstreamDirectory.h"
 #include "papayabend/gateway/PlatformAdapter.h"
 #include "papayabend/routes/Configuration.h"
@@ -13,6 +14,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace papayabend::gateway {
 
@@ -53,6 +56,10 @@
     /** When the configuration came into force. */
     base::TimePoint configurationSince() const { return m_configurationSince; }
     const discovery::UpstreamDirectory& upstreams() const { return m_upstreams; }
+    const discovery::Evacuations& evacuations() const { return m_evacuations; }
+    /** Returns the failure domains whose evacuation has begun or ended since the last call. */
+    std::vector<std::string> takeChangedEvacuations() { return std::exchange(m_changedEvacuations, {}); }
+    bool hasChangedEvacuations() const { return !m_changedEvacuations.empty(); }
     /** Whether a full list has been applied. */
     bool hasList() const { return m_hasList; }
     /** Revision up to which all changes have been applied. */
@@ -90,11 +97,15 @@
     void applyConfiguration(const StoreItem&, base::TimePoint now, ContentChange&);
     void discardRemovedItems();
     void applyUpstream(const StoreItem&, base::TimePoint now, ContentChange&);
+    void applyEvacuation(const StoreItem&, base::TimePoint now, ContentChange&);
+    void endEvacuation(std::string_view failureDomain, base::TimePoint now);
 
     const PlatformAdapter& m_adapter;
     std::shared_ptr<const routes::Configuration> m_configuration;
     base::TimePoint m_configurationSince {};
     discovery::UpstreamDirectory m_upstreams;
+    discovery::Evacuations m_evacuations;
+    std::vector<std::string> m_changedEvacuations;
     std::map<std::string, StoreItem, std::less<>> m_items;
     std::deque<EarlierValue> m_earlierConfigurations; /**< Oldest first. */
     uint64_t m_revision { 0 };
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "papayabend/gateway/Exchange.h"
 
+#include "papayabend/dispatch/SendDecision.h"
+
 #include <algorithm>
 #include <cmath>
 #include <ranges>
@@ -23,8 +25,6 @@
     constexpr base::Duration hedgeRetryPause { std::chrono::milliseconds(10) };
     // The same while upstreams name limits, which last longer.
     constexpr base::Duration limitedHedgeRetryPause { std::chrono::milliseconds(50) };
-    // A draining upstream still serves for a while; it is used for this long if the service has no other.
-    constexpr base::Duration drainingUseTime { std::chrono::milliseconds(1000) };
     // Retry-After while the process starts, stops or refreshes its content.
     constexpr base::Duration unavailableRetryAfter { std::chrono::milliseconds(50) };
 
@@ -64,9 +64,10 @@
     if (!admit(now))
         return;
     for (auto& subrequest : m_subrequests)
-        subrequest.usable = dispatch::countUsable(m_state.content.upstreams().of(subrequest.service));
+        subrequest.usable
+            = dispatch::countUsable(m_state.content.upstreams().of(subrequest.service), &m_state.content.evacuations());
     if (!isServable())
-        return refuse(503, "no_upstream", "too few of the services or shards have a usable upstream",
+        return refuse(503, "no_upstream", "too few of the services or shards have a usable upstream" + evacuationNote(),
             minRetryAfter + retryAfterSpread);
     if (auto wait = admissionWait(now); wait.count() > 0)
         return refuse(503, "at_limit", "the upstreams have named limits or pauses that admit no more requests now",
@@ -90,7 +91,7 @@
     for (auto& subrequest : m_subrequests) {
         m_state.budget.addRequest(subrequest.service, budget, now);
         if (!tryAttempt(subrequest, "first"))
-            failSubrequest(subrequest, "no usable upstream");
+            failSubrequest(subrequest, isEvacuated(subrequest) ? "evacuated" : "no usable upstream");
     }
     m_isStartingAttempts = false;
     decide();
@@ -156,54 +157,32 @@
 bool Exchange::tryAttempt(Subrequest& subrequest, const char* cause, bool isHedge)
 {
     auto now = base::BootClock::now();
-    if (m_state.suspects.isRefused(m_fingerprint, now))
+    if (m_state.isStale || m_state.suspects.isRefused(m_fingerprint, now))
         return false;
-    std::vector<dispatch::Candidate> candidates;
-    bool hasUndrained = false;
-    auto entries = m_state.content.upstreams().of(subrequest.service);
-    subrequest.usable = dispatch::countUsable(entries);
-    candidates.reserve(entries.size());
-    for (const auto* entry : entries) {
-        auto isTried = std::ranges::find(subrequest.tried, entry->record.id) != subrequest.tried.end();
-        auto isRemote = entry->record.failureDomain != m_state.settings.host.failureDomain;
-        candidates.push_back({ entry, &m_state.pool.load(entry->record.id), isTried, isRemote,
-            isHeldBack(entry->record, isHedge, now) });
-        hasUndrained = hasUndrained || (!entry->record.isDraining && entry->presence == discovery::Presence::Listed);
-    }
+    auto candidates = candidatesFor(subrequest, isHedge, now);
+    subrequest.usable
+        = dispatch::countUsable(m_state.content.upstreams().of(subrequest.service), &m_state.content.evacuations());
     auto medianLatency = base::Duration(static_cast<int64_t>(m_latency->median));
     auto choice = dispatch::chooseUpstream(candidates, { medianLatency, m_hedgeDelay, now });
-    if (!choice && !hasUndrained) {
-        auto it = std::ranges::find_if(candidates, [now](const auto& each) {
-            return !each.isTried && !each.isHeldBack && each.entry->presence == discovery::Presence::Listed
-                && each.load->misdirectedUntil <= now && now - each.entry->changedAt < drainingUseTime;
-        });
-        if (it != candidates.end())
-            choice = static_cast<size_t>(it - candidates.begin());
-    }
     if (!choice)
         return false;
-    if (subrequest.history.sent > 0) {
-        auto budget = budgetOf(m_state.settings.retryBudget);
-        auto part = fleet::partOf(m_state.budgetShare, 1 + m_state.fleet.members().size(), budget.window, now);
-        subrequest.lacksBudget = !m_state.budget.tryTake(subrequest.service, budget, part, now);
-        if (subrequest.lacksBudget) {
-            m_state.metrics.extraDenied();
-            return false;
-        }
-        m_state.metrics.extraAttempt(cause);
+    // The budget is taken at the send; an attempt without any left would only wait in vain.
+    subrequest.lacksBudget = dispatch::needsBudget(subrequest.history) && budgetLeft(subrequest, now) < 1;
+    if (subrequest.lacksBudget) {
+        m_state.metrics.extraDenied();
+        return false;
     }
     const auto& record = candidates[*choice].entry->record;
-    if (!m_state.gate.limits.isEmpty())
-        m_state.gate.limits.take(dispatch::keyOf(record), m_state.gate.limitShare, now);
-    auto attempt = createAttempt(subrequest, record);
+    auto attempt = createAttempt(subrequest, record, cause, isHedge);
     subrequest.tried.push_back(record.id);
     subrequest.attempts.push_back(attempt);
-    ++subrequest.history.inFlight;
+    dispatch::attemptQueued(subrequest.history);
     m_state.pool.submit(record, attempt);
     return true;
 }
 
-std::shared_ptr<Attempt> Exchange::createAttempt(Subrequest& subrequest, const discovery::UpstreamRecord& record)
+std::shared_ptr<Attempt> Exchange::createAttempt(
+    Subrequest& subrequest, const discovery::UpstreamRecord& record, const char* cause, bool isHedge)
 {
     auto attempt = std::make_shared<Attempt>();
     attempt->upstream = record.id;
@@ -215,6 +194,9 @@
     auto self = shared_from_this();
     auto index = static_cast<size_t>(&subrequest - m_subrequests.data());
     attempt->buildRequest = [self](const std::string& upstream) { return self->buildUpstreamRequest(upstream); };
+    attempt->reasonNotToSend = [self, index, id = record.id, cause, isHedge] {
+        return self->takeSend(self->m_subrequests[index], id, cause, isHedge);
+    };
     attempt->onSent = [self, index](const Attempt& sent) { self->attemptSent(self->m_subrequests[index], sent); };
     attempt->onEnd = [self, index](const Attempt& ended, CallResult result) {
         auto isHandled = self->m_state.faults->contain(
@@ -238,8 +220,7 @@
 
 void Exchange::attemptSent(Subrequest& subrequest, const Attempt& attempt)
 {
-    ++subrequest.history.sent;
-    subrequest.history.lastSentAt = attempt.sentAt;
+    dispatch::attemptSent(subrequest.history, attempt.sentAt);
     if (auto connection = attempt.connection.lock())
         subrequest.usedConnections.push_back(connection->number());
     m_state.metrics.attemptWaited(attempt.sentAt - attempt.createdAt);
@@ -253,8 +234,9 @@
     auto& load = m_state.pool.load(attempt.upstream);
     auto& latency = *m_latency;
     if (result.end == CallEnd::NotSent) {
-        ++(attempt.isSent() ? subrequest.history.provenNotRun : subrequest.history.unsent);
-        if (!m_isFinished)
+        if (result.isWithheld)
+            m_state.metrics.attemptWithheld(result.reason);
+        else if (!m_isFinished && subrequest.phase == SubrequestPhase::Open)
             dispatch::addFailure(load, now);
         return true;
     }
@@ -275,7 +257,6 @@
         recordUpstreamReport(subrequest, attempt, result.answer);
     auto hasNotRun = status == 421 || !fieldOf(result.answer, m_state.adapter.headers.notExecuted).empty();
     if (hasNotRun) {
-        ++subrequest.history.provenNotRun;
         if (status == 421)
             dispatch::addMisdirection(load, now);
         else
@@ -297,15 +278,22 @@
 
 void Exchange::attemptEnded(Subrequest& subrequest, const Attempt& attempt, CallResult result)
 {
-    --subrequest.history.inFlight;
     std::erase_if(subrequest.attempts, [&](const auto& it) { return it.get() == &attempt; });
     auto hasNotRun = recordAttemptResult(subrequest, attempt, result);
+    dispatch::attemptEnded(subrequest.history, attempt.isSent(), hasNotRun);
     if (result.end != CallEnd::Answered || !isSuccess(result.answer.result_int()))
         subrequest.lastReason = attempt.upstream + ": "
             + (result.end == CallEnd::Answered ? "status " + std::to_string(result.answer.result_int())
                                                : result.reason);
     if (m_isFinished || subrequest.phase != SubrequestPhase::Open)
         return;
+    if (result.isWithheld) {
+        // The gate decides whether it may be chosen again.
+        std::erase(subrequest.tried, attempt.upstream);
+        // A request under which an upstream has just ended goes to one upstream at a time.
+        if (subrequest.history.inFlight > 0 && m_state.suspects.losses(m_fingerprint, base::BootClock::now()) > 0)
+            return;
+    }
     if (result.end == CallEnd::Answered && !hasNotRun)
         handleAnswer(subrequest, std::move(result));
     else
@@ -334,6 +322,7 @@
         subrequest.hold = std::move(result.hold);
         subrequest.phase = SubrequestPhase::Answered;
         ++m_answered;
+        cancelWaiting(subrequest);
         return;
     }
     // A failure that the upstream itself signed is forwarded unless a later attempt succeeds.
@@ -348,11 +337,12 @@
 {
     auto now = base::BootClock::now();
     if (dispatch::mayRetry(policy(), subrequest.history) && now < m_deadlineAt) {
-        if (holdSuspect(subrequest, now))
+        if (holdRetry(subrequest, now))
             return;
         if (tryAttempt(subrequest, hasNotRun ? "not_run" : "lost"))
             return;
-        if (subrequest.history.inFlight == 0 && hasNotRun && now + fullUpstreamPause < m_deadlineAt
+        if (subrequest.history.inFlight == 0 && hasNotRun && !isEvacuated(subrequest)
+            && now + fullUpstreamPause < m_deadlineAt
             && subrequest.history.provenNotRun + subrequest.history.unsent
                 < m_route->maxAttempts + dispatch::maxUnrunAttempts) {
             subrequest.retryAt
@@ -392,7 +382,10 @@
             continue;
         if (subrequest.retryAt && now >= *subrequest.retryAt) {
             subrequest.retryAt.reset();
-            if (!holdSuspect(subrequest, now) && !tryAttempt(subrequest, "not_run"))
+            // Attempts that were in flight may have ended, and others may have been started, since the time was set.
+            auto isStarted = holdRetry(subrequest, now)
+                || (dispatch::mayRetry(policy(), subrequest.history) && tryAttempt(subrequest, "not_run"));
+            if (!isStarted && subrequest.history.inFlight == 0)
                 failSubrequest(subrequest, subrequest.lastReason);
         }
         replaceWaitingAttempt(subrequest, now);
@@ -429,7 +422,8 @@
         if (subrequest.retryAt)
             due = std::min(due, *subrequest.retryAt);
         auto mayHedge = hedging.isIdempotent && !isOverloaded && subrequest.history.inFlight == 1
-            && subrequest.history.sent > 0 && dispatch::mayRetry(hedging, subrequest.history) && hasUntried(subrequest);
+            && subrequest.history.waiting == 0 && dispatch::mayRetry(hedging, subrequest.history)
+            && hasUntried(subrequest);
         if (mayHedge)
             due = std::min(due, std::max(subrequest.history.lastSentAt + m_hedgeDelay, subrequest.noHedgeUntil));
         for (const auto& attempt : subrequest.attempts) {
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -71,8 +71,22 @@
     bool admitDuringStop(base::TimePoint endsAt, base::TimePoint now);
     /** Returns whether enough of the shards, or the one service, have a usable upstream. */
     bool isServable() const;
-    /** Returns whether the upstream's limit, its pause or its end allows no attempt now. */
-    bool isHeldBack(const discovery::UpstreamRecord&, bool isHedge, base::TimePoint now) const;
+    /** Returns what the gate needs to know of an attempt; hasListed is left to the caller. */
+    dispatch::GateQuery gateQuery(bool isHedge, base::TimePoint now);
+    /** Returns the upstreams of the service, and whether the gate allows the attempt to each. */
+    std::vector<dispatch::Candidate> candidatesFor(const Subrequest&, bool isHedge, base::TimePoint now);
+    /** Decides for an attempt that has waited for a connection whether it may be sent, and takes retry budget and rate
+     * tokens if so. Returns the reason if not. */
+    std::string takeSend(Subrequest&, const std::string& upstream, const char* cause, bool isHedge);
+    /** Returns the attempts that the retry budget of the service has left for this host. */
+    double budgetLeft(const Subrequest&, base::TimePoint now) const;
+    /** Returns this host's part of the fixed part of retry budgets. */
+    double budgetPart(base::TimePoint now) const;
+    /** Returns whether the service has upstreams, but only in failure domains under evacuation. */
+    bool isEvacuated(const Subrequest&) const;
+    /** Returns a clause that names the failure domains under evacuation with upstreams of the request; empty if there
+     * are none. */
+    std::string evacuationNote() const;
     /** Returns the time until the limits and pauses of the upstreams admit enough of the shards, or the one service; 0
      * if they do now. */
     base::Duration admissionWait(base::TimePoint now) const;
@@ -81,7 +95,8 @@
     /** Submits an attempt to a suitable upstream; returns false if there is none or the retry budget is used up.
      * \a cause: label of the metric for extra attempts. */
     bool tryAttempt(Subrequest&, const char* cause, bool isHedge = false);
-    std::shared_ptr<Attempt> createAttempt(Subrequest&, const discovery::UpstreamRecord&);
+    std::shared_ptr<Attempt> createAttempt(
+        Subrequest&, const discovery::UpstreamRecord&, const char* cause, bool isHedge);
     /** Returns the bytes of the request for one upstream, with the time that is left now. */
     std::string buildUpstreamRequest(const std::string& upstream) const;
     void attemptSent(Subrequest&, const Attempt&);
@@ -94,9 +109,9 @@
     void recordLoss(const Subrequest&, const Attempt&, base::TimePoint now);
     /** Records that an upstream has run the request to its end. */
     void recordRun(const Subrequest&, const Attempt&, base::TimePoint now);
-    /** Returns whether the request may end the upstreams that run it, so that it has to wait until the attempts in
-     * flight have ended; sets the time of the next try. */
-    bool holdSuspect(Subrequest&, base::TimePoint now);
+    /** Returns whether the next attempt has to wait, and sets the time of the next try: the request may end the
+     * upstreams that run it and is still in flight, or the content of this host is stale. */
+    bool holdRetry(Subrequest&, base::TimePoint now);
     /** Records what the upstream has said about itself in its answer, and logs changes. */
     void recordUpstreamReport(const Subrequest&, const Attempt&, const HttpResponse&);
     /** Accepts an upstream's answer or retries. Answers with a content encoding are not accepted. A signed success is
@@ -129,6 +144,8 @@
     void refuse(unsigned status, const char* outcome, const std::string& reason, base::Duration retryAfter,
         base::Duration spread = retryAfterSpread);
     void clientLeft();
+    /** Cancels the attempts of a settled subrequest that wait for a connection. */
+    void cancelWaiting(Subrequest&);
     /** Cancels the attempts that are still open. */
     void cancelAttempts(const char* reason);
     void logEnd(unsigned status, const char* outcome);
@@ -154,6 +171,8 @@
     base::TimePoint m_objectiveAt {}; /**< When an answer has to leave to reach the caller within the objective. */
     dispatch::TrafficClass m_trafficClass;
     base::Duration m_hedgeDelay { 0 };
+    /** Decides whether the request returns early to a failure domain after its evacuation; drawn at the first use. */
+    std::optional<double> m_returnDraw;
     dispatch::LatencyEstimate* m_latency { nullptr }; /**< Latency of the route. */
     std::vector<Subrequest> m_subrequests;
     uint32_t m_answered { 0 }; /**< Number of subrequests in phase Answered. */
--- a/Source/papayabend/gateway/ExchangeAnswer.cpp
+++ b/Source/papayabend/gateway/ExchangeAnswer.cpp
@@ -1,5 +1,6 @@
 #include "papayabend/dispatch/FanOutPressure.h"
 #include "papayabend/dispatch/RecordMerge.h"
+#include "papayabend/dispatch/SendDecision.h"
 #include "papayabend/gateway/Exchange.h"
 
 #include <algorithm>
@@ -38,7 +39,7 @@
         if (dispatch::mayHaveRun(subrequest.history))
             return finish(
                 plainAnswer(502, "an upstream may have run the request: " + subrequest.lastReason), "may_have_run");
-        return refuse(503, "not_run", "no upstream ran the request: " + subrequest.lastReason,
+        return refuse(503, "not_run", "no upstream ran the request: " + subrequest.lastReason + evacuationNote(),
             std::max(admissionWait(base::BootClock::now()), minRetryAfter));
     }
     auto now = base::BootClock::now();
@@ -63,7 +64,8 @@
     }
     auto hasRun = std::ranges::any_of(m_subrequests, [](const auto& it) { return dispatch::mayHaveRun(it.history); });
     if (!hasRun)
-        return refuse(503, "not_run", "no upstream ran the request", std::max(admissionWait(now), minRetryAfter));
+        return refuse(503, "not_run", "no upstream ran the request" + evacuationNote(),
+            std::max(admissionWait(now), minRetryAfter));
     if (now >= m_deadlineAt)
         return finish(plainAnswer(504, "too few shards answered before the deadline"), "timeout");
     finish(plainAnswer(502, "too many shards failed"), "too_few_shards");
@@ -173,6 +175,17 @@
     decide();
 }
 
+void Exchange::cancelWaiting(Subrequest& subrequest)
+{
+    auto attempts = subrequest.attempts;
+    for (const auto& attempt : attempts) {
+        if (attempt->isSent())
+            continue;
+        m_state.metrics.attemptWithheld(dispatch::toString(dispatch::SendReason::Answered, {}));
+        m_state.pool.cancel(attempt, "another upstream has answered");
+    }
+}
+
 void Exchange::cancelAttempts(const char* reason)
 {
     for (auto& subrequest : m_subrequests) {
--- a/Source/papayabend/gateway/ExchangeGate.cpp
+++ b/Source/papayabend/gateway/ExchangeGate.cpp
@@ -1,27 +1,151 @@
 #include "papayabend/dispatch/Gather.h"
+#include "papayabend/dispatch/SendDecision.h"
 #include "papayabend/dispatch/StopAdmission.h"
 #include "papayabend/gateway/Exchange.h"
 
 #include <algorithm>
+#include <set>
 
 namespace papayabend::gateway {
 
-bool Exchange::isHeldBack(const discovery::UpstreamRecord& record, bool isHedge, base::TimePoint now) const
+dispatch::GateQuery Exchange::gateQuery(bool isHedge, base::TimePoint now)
 {
-    return !m_state.gate.isEmpty() && !dispatch::isOpen(m_state.gate, dispatch::keyOf(record), isHedge, now);
+    const auto& evacuations = m_state.content.evacuations();
+    if (!evacuations.isEmpty() && !m_returnDraw)
+        m_returnDraw = base::uniform(m_state.random);
+    return { .isHedge = isHedge,
+        .returnDraw = m_returnDraw.value_or(0),
+        .evacuations = &evacuations,
+        .resumedAt = m_state.resumedAt,
+        .now = now };
+}
+
+std::vector<dispatch::Candidate> Exchange::candidatesFor(
+    const Subrequest& subrequest, bool isHedge, base::TimePoint now)
+{
+    auto entries = m_state.content.upstreams().of(subrequest.service);
+    auto query = gateQuery(isHedge, now);
+    query.hasListed = dispatch::hasListed(entries);
+    std::vector<dispatch::Candidate> candidates;
+    std::vector<size_t> returning;
+    bool hasOpen = false;
+    candidates.reserve(entries.size());
+    for (const auto* entry : entries) {
+        const auto& load = m_state.pool.load(entry->record.id);
+        auto reason = dispatch::reasonAgainst(m_state.gate, { *entry, load.misdirectedUntil, load.waiting }, query);
+        auto isTried = std::ranges::find(subrequest.tried, entry->record.id) != subrequest.tried.end();
+        auto isRemote = entry->record.failureDomain != m_state.settings.host.failureDomain;
+        if (reason == dispatch::GateReason::Returning)
+            returning.push_back(candidates.size());
+        hasOpen = hasOpen || (reason == dispatch::GateReason::None && !isTried);
+        candidates.push_back({ entry, &load, isTried, isRemote, reason != dispatch::GateReason::None });
+    }
+    // Without another upstream the request would be refused.
+    if (!hasOpen) {
+        for (auto n : returning)
+            candidates[n].isHeldBack = false;
+    }
+    return candidates;
+}
+
+double Exchange::budgetLeft(const Subrequest& subrequest, base::TimePoint now) const
+{
+    auto budget = budgetOf(m_state.settings.retryBudget);
+    return m_state.budget.remaining(subrequest.service, budget, budgetPart(now), now);
+}
+
+double Exchange::budgetPart(base::TimePoint now) const
+{
+    auto window = budgetOf(m_state.settings.retryBudget).window;
+    return fleet::partOf(m_state.budgetShare, 1 + m_state.fleet.members().size(), window, now);
+}
+
+std::string Exchange::takeSend(Subrequest& subrequest, const std::string& upstream, const char* cause, bool isHedge)
+{
+    auto now = base::BootClock::now();
+    const auto* entry = m_state.content.upstreams().find(upstream);
+    const auto& history = subrequest.history;
+    auto isRunning = history.inFlight > history.waiting;
+    dispatch::SendInputs inputs { .gate = dispatch::GateReason::Gone,
+        .isAnswered = m_isFinished || subrequest.phase != SubrequestPhase::Open,
+        .isStale = m_state.isStale,
+        .isSuspect = m_state.suspects.isRefused(m_fingerprint, now)
+            || (isHedge && isRunning && m_state.suspects.losses(m_fingerprint, now) > 0),
+        .policy = policy(),
+        .history = history,
+        .deadline = m_deadlineAt,
+        .now = now };
+    if (entry) {
+        auto query = gateQuery(isHedge, now);
+        if (!dispatch::isListed(*entry))
+            query.hasListed = dispatch::hasListed(m_state.content.upstreams().of(subrequest.service));
+        inputs.gate
+            = dispatch::reasonAgainst(m_state.gate, { *entry, m_state.pool.load(upstream).misdirectedUntil }, query);
+        // Whether the request returns to a failure domain was decided when the upstream was chosen.
+        if (inputs.gate == dispatch::GateReason::Returning)
+            inputs.gate = dispatch::GateReason::None;
+    }
+    auto isExtra = dispatch::needsBudget(history);
+    if (isExtra)
+        inputs.budgetLeft = budgetLeft(subrequest, now);
+    auto reason = dispatch::reasonNotToSend(inputs);
+    subrequest.lacksBudget = reason == dispatch::SendReason::NoBudget;
+    if (subrequest.lacksBudget)
+        m_state.metrics.extraDenied();
+    if (reason != dispatch::SendReason::None)
+        return dispatch::toString(reason, inputs.gate);
+    if (isExtra) {
+        m_state.budget.tryTake(subrequest.service, budgetOf(m_state.settings.retryBudget), budgetPart(now), now);
+        m_state.metrics.extraAttempt(cause);
+    }
+    if (!m_state.gate.limits.isEmpty())
+        m_state.gate.limits.take(dispatch::keyOf(entry->record), m_state.gate.limitShare, now);
+    return {};
+}
+
+bool Exchange::isEvacuated(const Subrequest& subrequest) const
+{
+    const auto& evacuations = m_state.content.evacuations();
+    if (evacuations.isEmpty())
+        return false;
+    auto entries = m_state.content.upstreams().of(subrequest.service);
+    return dispatch::countUsable(entries, &evacuations) == 0 && dispatch::countUsable(entries) > 0;
+}
+
+std::string Exchange::evacuationNote() const
+{
+    const auto& evacuations = m_state.content.evacuations();
+    std::set<std::string> domains;
+    if (!evacuations.isEmpty()) {
+        for (const auto& subrequest : m_subrequests) {
+            for (const auto* entry : m_state.content.upstreams().of(subrequest.service)) {
+                if (evacuations.isEvacuated(entry->record.failureDomain))
+                    domains.insert(entry->record.failureDomain);
+            }
+        }
+    }
+    std::string note;
+    for (const auto& domain : domains)
+        note += (note.empty() ? "; evacuated failure domains: " : ", ") + domain;
+    return note;
 }
 
 base::Duration Exchange::admissionWait(base::TimePoint now) const
 {
     if (m_state.gate.isEmpty())
         return base::Duration(0);
+    const auto& evacuations = m_state.content.evacuations();
     std::vector<base::Duration> waits;
     for (const auto& subrequest : m_subrequests) {
         std::optional<base::Duration> shortest;
-        for (const auto* entry : m_state.content.upstreams().of(subrequest.service)) {
-            if (!dispatch::isUsable({ entry, &m_state.pool.load(entry->record.id) }, now))
+        auto entries = m_state.content.upstreams().of(subrequest.service);
+        auto hasListed = dispatch::hasListed(entries);
+        for (const auto* entry : entries) {
+            const auto& load = m_state.pool.load(entry->record.id);
+            auto reason = dispatch::reasonByListing({ *entry, load.misdirectedUntil }, hasListed, now);
+            if (reason != dispatch::GateReason::None || evacuations.isEvacuated(entry->record.failureDomain))
                 continue;
-            if (auto wait = dispatch::waitFor(m_state.gate, dispatch::keyOf(entry->record), now))
+            if (auto wait = dispatch::waitFor(m_state.gate, dispatch::keyOf(entry->record), now, load.waiting))
                 shortest = std::min(shortest.value_or(*wait), *wait);
         }
         if (shortest)
@@ -63,13 +187,13 @@
                 .add("milliRequestsPerSecond", static_cast<int64_t>(report.requestLimit.value_or(0) * 1000)));
     if (report.isLeaving && m_state.gate.holds.addLeaving(key, now)) {
         log("upstream", fields().add("source", "answer").add("state", "leaving"));
-        m_state.pool.rejectWaiting(attempt.upstream, "the upstream leaves");
+        m_state.pool.rejectWaiting(attempt.upstream, dispatch::toString(dispatch::GateReason::Leaving));
     }
     if (report.pause.value_or(base::Duration(0)).count() > 0) {
         if (m_state.gate.holds.pauseLeft(key, now).count() == 0)
             log("pause", fields().add("ms", base::toMilliseconds(*report.pause)));
         m_state.gate.holds.addPause(key, *report.pause, m_state.random, now);
-        m_state.pool.rejectWaiting(attempt.upstream, "the upstream has asked for a pause");
+        m_state.pool.rejectWaiting(attempt.upstream, dispatch::toString(dispatch::GateReason::Paused));
     }
 }
 
--- a/Source/papayabend/gateway/ExchangeSuspect.cpp
+++ b/Source/papayabend/gateway/ExchangeSuspect.cpp
@@ -9,6 +9,8 @@
 
     // Pause after which a request that may end upstreams looks again whether one has answered it.
     constexpr base::Duration suspectPause { std::chrono::milliseconds(10) };
+    // Pause before the next look whether the content has been refreshed after the process was paused.
+    constexpr base::Duration stalePause { std::chrono::milliseconds(25) };
 
 }
 
@@ -39,8 +41,12 @@
             { "answer", m_fingerprint, m_state.suspects.losses(m_fingerprint, now), m_id, attempt.upstream }, now);
 }
 
-bool Exchange::holdSuspect(Subrequest& subrequest, base::TimePoint now)
+bool Exchange::holdRetry(Subrequest& subrequest, base::TimePoint now)
 {
+    if (m_state.isStale) {
+        subrequest.retryAt = now + stalePause;
+        return true;
+    }
     auto isInFlight = std::ranges::any_of(m_subrequests, [](const auto& it) { return it.history.inFlight > 0; });
     if (!isInFlight || !m_state.suspects.isRefused(m_fingerprint, now))
         return false;
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/fleet/Roles.h"
 #include "papayabend/gateway/GatewayHost.h"
 #include "papayabend/gateway/SuspectLog.h"
+#include "papayabend/gateway/WaitingAttempts.h"
 
 #include <algorithm>
 #include <map>
@@ -181,17 +182,34 @@
                 .add("revision", static_cast<int64_t>(entry->revision)),
             LineClass::Change);
     }
-    if (change.isNewConfiguration || !change.upstreams.empty())
+    if (change.isNewConfiguration || !change.upstreams.empty() || m_state.content.hasChangedEvacuations())
         updateAfterContentChange();
     m_state.fleet.self().contentRevision = m_state.content.revision();
 }
 
+void GatewayHost::logEvacuations()
+{
+    const auto& content = m_state.content;
+    for (const auto& failureDomain : m_state.content.takeChangedEvacuations()) {
+        auto upstreams = std::ranges::count_if(content.upstreams().entries(),
+            [&](const auto& it) { return it.second.record.failureDomain == failureDomain; });
+        logEvent("evacuation",
+            LogFields()
+                .add("failureDomain", failureDomain)
+                .add("state", content.evacuations().isEvacuated(failureDomain) ? "begun" : "ended")
+                .add("upstreams", static_cast<int64_t>(upstreams))
+                .add("revision", static_cast<int64_t>(content.revision())));
+    }
+}
+
 void GatewayHost::updateAfterContentChange()
 {
+    logEvacuations();
     if (const auto& configuration = m_state.content.configuration())
         m_state.fleet.self().configurationVersion = configuration->version;
     m_state.fleet.self().contentRevision = m_state.content.revision();
     m_state.pool.retain(m_state.content.upstreams());
+    endWaitingForClosed(m_state, base::BootClock::now());
     updateUpstreamConnections();
     updateStage();
 }
@@ -322,6 +340,7 @@
     m_pauseDetector.refreshed();
     logEvent("paused", LogFields().add("pauses", static_cast<int64_t>(m_pauseDetector.pauses())));
     m_resumedAt = now;
+    m_state.resumedAt = now;
     const auto& members = m_state.fleet.members();
     if (members.empty() || !m_state.content.hasList())
         return;
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -4,6 +4,7 @@
 #include "papayabend/fleet/EntryAddresses.h"
 #include "papayabend/fleet/Roles.h"
 #include "papayabend/gateway/Exchange.h"
+#include "papayabend/gateway/WaitingAttempts.h"
 
 #include <algorithm>
 #include <csignal>
@@ -225,6 +226,7 @@
     pullIfBehind(now);
     dropUnusedEncoding(now);
     m_state.gate.holds.expire(now);
+    endWaitingForClosed(m_state, now);
     if (m_state.suspects.takeNewRefusal())
         sendHeartbeatNow();
     updateStage();
@@ -381,6 +383,7 @@
     gauge("upstreams_known", m_state.content.upstreams().entries().size());
     gauge("upstreams_leaving", m_state.gate.holds.countLeaving());
     gauge("upstreams_paused", m_state.gate.holds.countPaused(now));
+    gauge("failure_domains_evacuated", m_state.content.evacuations().failureDomains().size());
     gauge("upstreams_limited", m_state.gate.limits.count(now));
     gauge("upstream_connections", m_state.pool.openConnections());
     size_t connections = 0;
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -50,6 +50,8 @@
     PeerEvents peerEvents();
     /** Logs a change of the content and applies the limits and traffic split of a new configuration. */
     void handleContentChange(const ContentChange&, const char* source);
+    /** Logs the evacuations that have begun or ended. */
+    void logEvacuations();
     /** Updates the heartbeat, the upstream connections and the stage after the content has changed. */
     void updateAfterContentChange();
     /** Sets the connection limit of each upstream and opens a first connection to those in use. */
--- a/Source/papayabend/gateway/GatewayMetrics.cpp
+++ b/Source/papayabend/gateway/GatewayMetrics.cpp
@@ -33,6 +33,10 @@
                    .Help("Attempts after the first one of a shard that the retry budget did not allow")
                    .Register(m_registry)
                    .Add({}))
+    , m_withheld(prometheus::BuildCounter()
+                     .Name("papayabend_gateway_attempts_withheld_total")
+                     .Help("Attempts that were not sent to the upstream for which they had waited, by reason")
+                     .Register(m_registry))
     , m_wait(prometheus::BuildHistogram()
                  .Name("papayabend_gateway_upstream_wait_seconds")
                  .Help("Time that an attempt waited for a connection to its upstream")
@@ -62,6 +66,11 @@
 
 void GatewayMetrics::extraDenied() { m_denied.Increment(); }
 
+void GatewayMetrics::attemptWithheld(const std::string& reason)
+{
+    m_withheld.Add({ { "reason", reason } }).Increment();
+}
+
 void GatewayMetrics::attemptWaited(base::Duration wait) { m_wait.Observe(std::chrono::duration<double>(wait).count()); }
 
 void GatewayMetrics::shardsMissing(size_t count) { m_missing.Observe(static_cast<double>(count)); }
--- a/Source/papayabend/gateway/GatewayMetrics.h
+++ b/Source/papayabend/gateway/GatewayMetrics.h
@@ -28,6 +28,8 @@
     void extraAttempt(const std::string& cause);
     /** Counts an attempt that was not made because the retry budget did not allow it. */
     void extraDenied();
+    /** Counts an attempt that was not sent to the upstream for which it had waited, by the reason. */
+    void attemptWithheld(const std::string& reason);
     /** Records the time that an attempt waited for a connection. */
     void attemptWaited(base::Duration);
     /** Records how many shards a merged answer lacks. */
@@ -46,6 +48,7 @@
     prometheus::Family<prometheus::Histogram>& m_latency;
     prometheus::Family<prometheus::Counter>& m_extra;
     prometheus::Counter& m_denied;
+    prometheus::Family<prometheus::Counter>& m_withheld;
     prometheus::Histogram& m_wait;
     prometheus::Histogram& m_missing;
     std::set<std::string> m_routes;
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -53,6 +53,8 @@
     /** Time of the last answer of the store, or of the last heartbeat of another host that stated no newer revision
      * than this host's. */
     base::TimePoint contentConfirmedAt {};
+    /** End of the last pause of the process. */
+    base::TimePoint resumedAt {};
     /** The process was paused, and neither the store nor another host has confirmed its content since. */
     bool isStale { false };
     /** Weights and limits of the client accounts; nullptr if all requests belong to one account. */
--- a/Source/papayabend/gateway/HttpCall.h
+++ b/Source/papayabend/gateway/HttpCall.h
@@ -33,6 +33,9 @@
     std::string reason; /**< Why there is no answer; set for any other end. */
     std::shared_ptr<BufferHold> hold; /**< Of the bytes of the answer, while they are kept. */
     bool hadAnswerBytes { false }; /**< At least a part of an answer was received. */
+    /** This host decided not to send it, which says nothing about the upstream; reason is then a label of the metric
+     * of withheld attempts. Only with NotSent. */
+    bool isWithheld { false };
     /** The peer has ended the connection; false if this host has closed it, or the network does not reach the peer. */
     bool isEndedByPeer { false };
 };
--- a/Source/papayabend/gateway/PlatformAdapter.h
+++ b/Source/papayabend/gateway/PlatformAdapter.h
@@ -74,10 +74,13 @@
     std::string readinessTarget; /**< Request target of readiness checks. */
     std::string configurationKey; /**< Key of the configuration in the store. */
     std::string upstreamPrefix; /**< Prefix of the keys of upstreams; the rest of the key is the id. */
+    std::string evacuationPrefix; /**< Prefix of the keys of evacuations; the rest is the failure domain. */
 
     std::optional<routes::Configuration> (*parseConfiguration)(std::string_view value, base::LastReason&);
     std::optional<discovery::UpstreamRecord> (*parseUpstream)(
         std::string_view id, std::string_view value, base::LastReason&);
+    /** Returns whether the value asks for an evacuation. */
+    bool (*parseEvacuation)(std::string_view value, base::LastReason&);
     /** Returns the request target that lists the keys with \a prefix after the key \a after, which is empty for the
      * first page. */
     std::string (*listTarget)(std::string_view prefix, std::string_view after);
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -221,7 +221,8 @@
             continue;
         }
         upstream.queue.erase(upstream.queue.begin() + static_cast<std::ptrdiff_t>(n));
-        sendAttempt(upstream, connection, attempt);
+        if (!withhold(attempt))
+            sendAttempt(upstream, connection, attempt);
         // Sending may have ended attempts and changed the queue.
         std::erase_if(upstream.queue, [](const auto& it) { return it->isEnded; });
         n = 0;
@@ -241,6 +242,19 @@
         failQueue(upstream, "no connection is open, and the upstream has refused connections recently");
 }
 
+bool UpstreamPool::withhold(const std::shared_ptr<Attempt>& attempt)
+{
+    auto reason = attempt->reasonNotToSend ? attempt->reasonNotToSend() : std::string();
+    if (reason.empty())
+        return false;
+    CallResult result;
+    result.end = CallEnd::NotSent;
+    result.reason = reason;
+    result.isWithheld = true;
+    endAttempt(attempt, std::move(result));
+    return true;
+}
+
 void UpstreamPool::sendAttempt(
     Upstream& upstream, const std::shared_ptr<HttpConnection>& connection, const std::shared_ptr<Attempt>& attempt)
 {
@@ -281,7 +295,21 @@
 void UpstreamPool::rejectWaiting(std::string_view id, const std::string& reason)
 {
     if (auto* target = find(id))
-        failQueue(*target, reason);
+        failQueue(*target, reason, true);
+}
+
+void UpstreamPool::rejectWaiting(const std::function<std::string(const std::string& id)>& reasonAgainst)
+{
+    // Ended attempts may be submitted to other upstreams, which changes their queues.
+    std::vector<std::pair<std::string, std::string>> closed;
+    for (const auto& [id, upstream] : m_upstreams) {
+        if (upstream->queue.empty())
+            continue;
+        if (auto reason = reasonAgainst(id); !reason.empty())
+            closed.emplace_back(id, std::move(reason));
+    }
+    for (const auto& [id, reason] : closed)
+        rejectWaiting(id, reason);
 }
 
 void UpstreamPool::endAttempt(const std::shared_ptr<Attempt>& attempt, CallResult result)
@@ -293,11 +321,12 @@
     attempt->onEnd = nullptr;
     attempt->onSent = nullptr;
     attempt->buildRequest = nullptr;
+    attempt->reasonNotToSend = nullptr;
     if (onEnd)
         onEnd(*attempt, std::move(result));
 }
 
-void UpstreamPool::failQueue(Upstream& upstream, const std::string& problem)
+void UpstreamPool::failQueue(Upstream& upstream, const std::string& problem, bool isWithheld)
 {
     auto queue = std::move(upstream.queue);
     upstream.queue.clear();
@@ -306,6 +335,7 @@
         CallResult result;
         result.end = CallEnd::NotSent;
         result.reason = problem;
+        result.isWithheld = isWithheld;
         endAttempt(attempt, std::move(result));
     }
 }
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -58,9 +58,13 @@
     /** Ends an attempt: an unsent one is removed from the queue, the connection of a sent one is closed. */
     void cancel(const std::shared_ptr<Attempt>&, std::string_view reason);
 
-    /** Ends the attempts that wait for a connection to the upstream as not sent. */
+    /** Ends the attempts that wait for a connection to the upstream as withheld. \a reason: see
+     * CallResult::isWithheld. */
     void rejectWaiting(std::string_view id, const std::string& reason);
 
+    /** The same for each upstream for which \a reasonAgainst returns a reason. */
+    void rejectWaiting(const std::function<std::string(const std::string& id)>& reasonAgainst);
+
     /** Closes idle connections that have reached their idle limit, and, after a shorter idle time, those that exceed
      * \a keptIdle connections per upstream. */
     void sweep(size_t keptIdle, base::TimePoint now);
@@ -97,10 +101,12 @@
     void serveQueue(Upstream&);
     /** Returns the idle connection on which to send the attempt, if any. */
     std::shared_ptr<HttpConnection> idleConnectionFor(const Upstream&, const Attempt&);
+    /** Ends the attempt as not sent and returns true if it may no longer be sent. */
+    static bool withhold(const std::shared_ptr<Attempt>&);
     void sendAttempt(Upstream&, const std::shared_ptr<HttpConnection>&, const std::shared_ptr<Attempt>&);
     void attemptEnded(const std::string& id, const std::shared_ptr<Attempt>&, CallResult);
-    /** Ends all queued attempts as NotSent. */
-    void failQueue(Upstream&, const std::string& problem);
+    /** Ends all queued attempts as NotSent. \a isWithheld: see CallResult. */
+    void failQueue(Upstream&, const std::string& problem, bool isWithheld = false);
     static void endAttempt(const std::shared_ptr<Attempt>&, CallResult);
     /** Removes closed connections and updates the counts in the load. */
     static void refreshCounts(Upstream&);
--- a/Tests/cli/ExplainTest.cpp
+++ b/Tests/cli/ExplainTest.cpp
@@ -45,6 +45,24 @@
         explain("r1").c_str());
 }
 
+// Guards against a refusal for an evacuation whose history does not show it.
+TEST(Explain, HistoryShowsEvacuations)
+{
+    std::istringstream stream(R"({"time":10,"host":"h","event":"evacuation","failureDomain":"d1","state":"begun"}
+{"time":20,"host":"h","event":"evacuation","failureDomain":"d2","state":"begun"}
+{"time":30,"host":"h","event":"evacuation","failureDomain":"d2","state":"ended"}
+{"time":40,"host":"h","event":"request","id":"r","outcome":"no_upstream"}
+)");
+    std::string text;
+    for (const auto& line : cli::explainRequest(stream, "r"))
+        text += line + '\n';
+    STRCMP_EQUAL("host h, time 40\n"
+                 "  30 ms before: evacuation failureDomain=d1 state=begun\n"
+                 "  10 ms before: evacuation failureDomain=d2 state=ended\n"
+                 "  request id=r outcome=no_upstream\n",
+        text.c_str());
+}
+
 // Guards against matching an id that is only a prefix of the logged one.
 TEST(Explain, UnknownRequestHasNoHistory)
 {
--- a/Tests/dispatch/SubrequestTest.cpp
+++ b/Tests/dispatch/SubrequestTest.cpp
@@ -35,7 +35,47 @@
 TEST(Subrequest, WaitingAttemptCountsAsOneThatMayRun)
 {
     SubrequestPolicy single { true, 1, 50ms };
-    CHECK_FALSE(mayRetry(single, { .inFlight = 1 }));
+    CHECK_FALSE(mayRetry(single, { .inFlight = 1, .waiting = 1 }));
+    CHECK_FALSE(mayRetry(idempotent, { .sent = 1, .inFlight = 1, .waiting = 1 }));
+    CHECK_FALSE(mayRetry(idempotent, { .sent = 1, .inFlight = 2, .waiting = 1 }));
+    CHECK_FALSE(mayRetry(idempotent, { .sent = 1, .provenNotRun = 1, .inFlight = 2, .waiting = 2 }));
+    CHECK_TRUE(mayRetry(idempotent, { .sent = 1, .provenNotRun = 1, .inFlight = 1, .waiting = 1 }));
+}
+
+// Guards against an attempt that has waited for a connection and is sent although the others have used up the attempts
+// of the route meanwhile.
+TEST(Subrequest, WaitingAttemptIsNotSentBeyondTheBound)
+{
+    CHECK_TRUE(maySend(idempotent, { .sent = 1, .inFlight = 2, .waiting = 1 }));
+    CHECK_FALSE(maySend(idempotent, { .sent = 2, .inFlight = 1, .waiting = 1 }));
+    CHECK_TRUE(maySend(idempotent, { .sent = 2, .provenNotRun = 1, .inFlight = 1, .waiting = 1 }));
+    CHECK_FALSE(maySend(nonIdempotent, { .sent = 1, .inFlight = 1, .waiting = 1 }));
+    CHECK_TRUE(maySend(nonIdempotent, { .sent = 1, .provenNotRun = 1, .inFlight = 1, .waiting = 1 }));
+}
+
+// Guards against a hedge beside a retry that waits for a connection, timed by the send of an attempt that is lost.
+TEST(Subrequest, NoHedgeIsDueWhileTheOnlyAttemptWaits)
+{
+    SubrequestPolicy three { true, 3, 50ms };
+    CHECK_FALSE(isHedgeDue(three, { .sent = 1, .inFlight = 1, .waiting = 1, .lastSentAt = now }, now + 1s));
+    CHECK_FALSE(isHedgeDue(three, { .inFlight = 1, .waiting = 1 }, now + 1s));
+}
+
+// Guards against counts that drift apart, whatever the order of sends and ends.
+TEST(Subrequest, HistoryCountsEachAttemptOnce)
+{
+    SubrequestHistory history;
+    attemptQueued(history);
+    attemptQueued(history);
+    LONGS_EQUAL(2, history.waiting);
+    attemptSent(history, now);
+    attemptEnded(history, true, true);
+    LONGS_EQUAL(1, history.provenNotRun);
+    attemptEnded(history, false, true);
+    LONGS_EQUAL(1, history.unsent);
+    LONGS_EQUAL(0, history.waiting);
+    LONGS_EQUAL(0, history.inFlight);
+    CHECK_TRUE(history.lastSentAt == now);
 }
 
 // Guards against endless attempts at one upstream after the other while all of them refuse the request.
--- a/Tests/dispatch/UpstreamGateTest.cpp
+++ b/Tests/dispatch/UpstreamGateTest.cpp
@@ -202,6 +202,59 @@
     }
 }
 
+// Guards against one owner too few: each reason closes the gate, and the reasons that end a wait are those that last.
+TEST(UpstreamGate, ReasonsOfTheDirectoryAndOfEvacuations)
+{
+    UpstreamGate gate;
+    base::TimePoint now { 100s };
+    discovery::UpstreamEntry entry;
+    discovery::Evacuations evacuations;
+    entry.record.failureDomain = "d1";
+    entry.changedAt = now - 500ms;
+    auto reason = [&](GateQuery query) {
+        query.evacuations = &evacuations;
+        query.now = now;
+        return reasonAgainst(gate, { entry, base::TimePoint { 90s } }, query);
+    };
+    CHECK_TRUE(reason({}) == GateReason::None);
+    CHECK_TRUE(reasonAgainst(gate, { entry, now + 1ms }, { .now = now }) == GateReason::Misdirected);
+    entry.record.isDraining = true;
+    CHECK_TRUE(reason({}) == GateReason::Draining);
+    CHECK_TRUE(reason({ .hasListed = false }) == GateReason::None);
+    CHECK_TRUE(reason({ .hasListed = false, .resumedAt = now - 700ms }) == GateReason::Draining);
+    CHECK_TRUE(reason({ .hasListed = false, .resumedAt = now - 9s }) == GateReason::None);
+    now += 500ms;
+    CHECK_TRUE(reason({ .hasListed = false }) == GateReason::Draining);
+    entry.record.isDraining = false;
+    entry.presence = discovery::Presence::Missing;
+    CHECK_TRUE(reason({}) == GateReason::Missing);
+    CHECK_TRUE(reason({ .hasListed = false }) == GateReason::None);
+    entry.presence = discovery::Presence::Gone;
+    CHECK_TRUE(reason({ .hasListed = false }) == GateReason::Gone);
+    entry.presence = discovery::Presence::Listed;
+    evacuations.begin("d1");
+    CHECK_TRUE(reason({}) == GateReason::Evacuated);
+    evacuations.end("d1", now);
+    now += discovery::Evacuations::returnTime / 2;
+    CHECK_TRUE(reason({ .returnDraw = 0.6 }) == GateReason::Returning);
+    CHECK_TRUE(reason({ .returnDraw = 0.4 }) == GateReason::None);
+    gate.holds.addLeaving(keyOf(entry.record), now);
+    CHECK_TRUE(reason({ .returnDraw = 0.4 }) == GateReason::Leaving);
+    CHECK_TRUE(isLasting(GateReason::Leaving) && isLasting(GateReason::Evacuated) && isLasting(GateReason::Draining));
+    CHECK_FALSE(isLasting(GateReason::Returning) || isLasting(GateReason::Paused) || isLasting(GateReason::Limited));
+}
+
+// Guards against attempts that wait for one upstream and together exceed its limit when they are sent.
+TEST(UpstreamGate, WaitingAttemptsCountAgainstTheLimit)
+{
+    UpstreamGate gate;
+    base::TimePoint now { 100s };
+    discovery::UpstreamEntry entry;
+    gate.limits.observe(keyOf(entry.record), 4, now);
+    CHECK_TRUE(reasonAgainst(gate, { entry, {}, 1 }, { .now = now }) == GateReason::None);
+    CHECK_TRUE(reasonAgainst(gate, { entry, {}, 2 }, { .now = now }) == GateReason::Limited);
+}
+
 // Guards against hedges to an upstream in need, and against the hold of a process that applies to its successor.
 TEST(UpstreamGate, GateIsPerProcessAndClosedForHedgesAtALimit)
 {
--- a/Tests/gateway/ContentTest.cpp
+++ b/Tests/gateway/ContentTest.cpp
@@ -60,6 +60,11 @@
         adapter.upstreamPrefix = "upstreams/";
         adapter.parseConfiguration = parseVersion;
         adapter.parseUpstream = parseService;
+        adapter.evacuationPrefix = "evacuate/";
+        adapter.parseEvacuation = [](std::string_view value, base::LastReason& why) {
+            why.text = "no object";
+            return value == "{}";
+        };
     }
 
     void apply(Content & content, std::vector<StoreItem> items) const
@@ -213,3 +218,45 @@
     LONGS_EQUAL(3, target.configuration()->version);
     LONGS_EQUAL(9, target.pullRevision());
 }
+
+// Guards against an evacuation that an invalid value ends or begins, or that does not end with its key.
+TEST(Content, InvalidValueOfAnEvacuationKeepsItsState)
+{
+    Content content(adapter);
+    apply(content, { { "evacuate/d1", "{}", 1 } });
+    CHECK_TRUE(content.evacuations().isEvacuated("d1"));
+    LONGS_EQUAL(1, content.takeChangedEvacuations().size());
+    auto change = content.apply(std::vector<StoreItem> { { "evacuate/d1", "[]", 2 }, { "evacuate/d2", "7", 3 } }, now);
+    LONGS_EQUAL(2, change.problems.size());
+    STRCMP_EQUAL("evacuate/d1: no object; the previous state stays in force", change.problems.front().c_str());
+    CHECK_TRUE(content.evacuations().isEvacuated("d1"));
+    CHECK_FALSE(content.evacuations().isEvacuated("d2"));
+    CHECK_FALSE(content.hasChangedEvacuations());
+    apply(content, { { "evacuate/d1", "", 4, true } });
+    CHECK_FALSE(content.evacuations().isEvacuated("d1"));
+    LONGS_EQUAL(1, content.takeChangedEvacuations().size());
+    apply(content, { { "evacuate/d1", "{}", 3 } });
+    CHECK_FALSE(content.evacuations().isEvacuated("d1"));
+}
+
+// Guards against a host that starts during evacuations and does not learn of them, and against ones that end while the
+// store or the host is away and stay in force.
+TEST(Content, FullContentBeginsAndEndsEvacuations)
+{
+    Content source(adapter);
+    apply(source, { { "configuration", "1", 1 }, { "evacuate/d1", "{}", 2 }, { "evacuate/d2", "{}", 3 } });
+    source.retain({ "configuration", "evacuate/d1", "evacuate/d2" }, 3, now);
+    Content started(adapter);
+    CHECK_TRUE(started.applyEncoded(source.encode(0), now, reason).has_value());
+    CHECK_TRUE(started.evacuations().isEvacuated("d1"));
+    CHECK_TRUE(started.evacuations().isEvacuated("d2"));
+    source.retain({ "configuration", "evacuate/d2" }, 9, now);
+    CHECK_FALSE(source.evacuations().isEvacuated("d1"));
+    CHECK_TRUE(source.evacuations().isEvacuated("d2"));
+    CHECK_TRUE(started.applyEncoded(source.encode(0), now, reason).has_value());
+    CHECK_FALSE(started.evacuations().isEvacuated("d1"));
+    CHECK_TRUE(started.evacuations().isEvacuated("d2"));
+    started.takeChangedEvacuations();
+    started.expire(now + 1h);
+    CHECK_TRUE(started.evacuations().isEvacuated("d2"));
+}
--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -209,3 +209,13 @@
         LONGS_EQUAL(1, reportOf(200, "Server-Leaving", text).problems.size());
     }
 }
+
+// Guards against a value that is not an object and begins an evacuation.
+TEST(Decode, EvacuationIsAnObject)
+{
+    CHECK_TRUE(platform::parseEvacuation("{}", reason));
+    CHECK_TRUE(platform::parseEvacuation(R"({"since":1})", reason));
+    for (const auto* text : { "", "null", "[]", "1", "\"d1\"", "{", "\xff" })
+        CHECK_FALSE(platform::parseEvacuation(text, reason));
+    STRCMP_EQUAL("the value is not a JSON object", reason.text.c_str());
+}
