--- a/Source/papayabend/gateway/ExchangeEstimate.cpp
+++ b/Source/papayabend/gateway/ExchangeEstimate.cpp
@@ -23,18 +23,16 @@
     return dispatch::LearnedChoice { left, isRepeatable, isRepeatable && isFirst && hasTime };
 }
 
-void Exchange::recordChoice(Subrequest& subrequest, std::span<const dispatch::Candidate> candidates,
-    std::span<dispatch::UpstreamLoad* const> loads, size_t chosen, Attempt& attempt) const
+void Exchange::recordChoice(
+    Subrequest& subrequest, std::span<const dispatch::Candidate> candidates, size_t chosen, Attempt& attempt) const
 {
     if (!m_state.settings.routing.learnsCapacity)
         return;
     auto service = dispatch::serviceMean(candidates, attempt.createdAt);
     attempt.expected = dispatch::expectationOf(candidates[chosen], service, attempt.createdAt);
-    for (size_t n = 0; n < loads.size(); ++n) {
-        if (n == chosen)
-            loads[n]->estimate.passedOver = 0;
-        else
-            ++loads[n]->estimate.passedOver;
+    for (const auto& candidate : candidates) {
+        auto& passedOver = m_state.pool.load(candidate.entry->record.id).estimate.passedOver;
+        passedOver = &candidate == &candidates[chosen] ? 0 : passedOver + 1;
     }
     std::erase_if(subrequest.estimates, [&](const auto& it) { return it.first == attempt.upstream; });
     subrequest.estimates.emplace_back(attempt.upstream, *attempt.expected);
@@ -44,6 +42,8 @@
 {
     using dispatch::AttemptEnd;
     if (result.end != CallEnd::Answered) {
+        if (result.isWithheld)
+            return std::nullopt;
         // After the end of the request, this host cancels the attempts itself.
         if (m_isFinished)
             return result.end == CallEnd::NotSent ? std::nullopt : std::optional(AttemptEnd::GivenUp);
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -52,6 +52,8 @@
     dispatch::TurnDelay turnDelay;
     /** Time of the newest answer of the store, to this host or to another one that has stated its age. */
     base::TimePoint contentConfirmedAt {};
+    /** End of the last pause of the process. */
+    base::TimePoint resumedAt {};
     /** The process was paused, and neither the store nor another host has confirmed its content since. */
     bool isStale { false };
     /** Weights and limits of the client accounts; nullptr if all requests belong to one account. */
