discovery: Ignore an earlier report after the removal of its entry

Cause: reports of an upstream were compared by start and sequence only while its entry was listed. A delayed write of an earlier state, with a newer revision than the removal, brought back an upstream that had left.

Change: a report of the same start with an earlier sequence is ignored until the removed entry is forgotten. A report of an earlier start is still taken after the removal, since the clock of the upstream's host may have been set back.

Measured: UpstreamDirectory.EarlierSequenceAfterTheRemovalIsIgnored fails without the change and passes with it.

--- a/Source/papayabend/discovery/UpstreamDirectory.cpp
+++ b/Source/papayabend/discovery/UpstreamDirectory.cpp
@@ -38,7 +38,10 @@
     }
     auto& entry = it->second;
     entry.revision = revision;
-    if (isOlder(*record, entry.record) && entry.presence == Presence::Listed)
+    // A delayed write of the same start must not bring back an upstream that has left. An earlier start is taken after
+    // the removal: the clock of the upstream's host may have been set back before it started again.
+    auto isSameStart = record->startedAt == entry.record.startedAt;
+    if (isOlder(*record, entry.record) && (entry.presence == Presence::Listed || isSameStart))
         return false;
     if (entry.record.service != record->service) {
         m_byService[entry.record.service].erase(entry.record.id);
--- a/Tests/discovery/UpstreamDirectoryTest.cpp
+++ b/Tests/discovery/UpstreamDirectoryTest.cpp
@@ -64,6 +64,24 @@
     CHECK_TRUE(presence() == Presence::Missing);
 }
 
+// Guards against a delayed write of an earlier state that brings back an upstream that has left, and against ignoring
+// one that comes back with its next state, or starts again after its clock was set back.
+TEST(UpstreamDirectory, EarlierSequenceAfterTheRemovalIsIgnored)
+{
+    directory.apply("u1", 10, record(5), now);
+    directory.remove("u1", 11, now);
+    CHECK_FALSE(directory.apply("u1", 12, record(4), now));
+    CHECK_TRUE(presence() == Presence::Missing);
+    directory.expire(now + 3s);
+    CHECK_FALSE(directory.apply("u1", 13, record(4), now + 3s));
+    CHECK_TRUE(presence() == Presence::Gone);
+    CHECK_TRUE(directory.apply("u1", 14, record(6), now + 4s));
+    CHECK_TRUE(presence() == Presence::Listed);
+    directory.remove("u1", 15, now + 5s);
+    CHECK_TRUE(directory.apply("u1", 16, record(1, 500), now + 6s));
+    CHECK_TRUE(presence() == Presence::Listed);
+}
+
 // Guards against dropping upstreams whose entries expired only because of an outage of the store, and against using
 // upstreams long after they have left.
 TEST(UpstreamDirectory, MissingEntriesAreGoneAfterMissingTime)
