gateway: Take no answer without an id after one with an id

Cause: an answer without the request id was taken for the answer to the request in flight. On a connection that is used again, an extra copy of an earlier rejection that lacks the id proved that the next request had not run, so that it could be sent to another upstream and run twice.

Change: such an answer ends the attempt as garbled, which proves nothing. A connection is used again only after an answer with an id, so the upstream echoes ids. On a new connection, and for a request without an id, an answer without one is taken as before.

Measured: HttpCall.AnswerWithoutAnIdAfterOneWithAnIdIsNotTaken fails without the change and passes with it.

--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -254,6 +254,12 @@
         newParser();
         return true;
     }
+    // A connection is kept only after an answer with an id, so the upstream echoes ids. An answer without one may be an
+    // extra copy of an earlier answer and proves nothing about this request.
+    if (m_hasAnswered && !m_id.empty() && lacksId()) {
+        fail(CallEnd::Garbled, "an answer without the request id followed one with an id");
+        return false;
+    }
     auto keepsAlive = m_parser->keep_alive() && m_isWritten && m_input.empty() && !m_closesAfterAnswer && !lacksId();
     CallResult result;
     result.end = CallEnd::Answered;
--- a/Tests/gateway/HttpCallTest.cpp
+++ b/Tests/gateway/HttpCallTest.cpp
@@ -292,6 +292,31 @@
     STRCMP_EQUAL("new", result.answer.body().c_str());
 }
 
+// Guards against a copy of an earlier answer that has lost its id, comes while the next request is in flight, and is
+// taken for the answer to it: a copied rejection would prove that a request has not run which then runs.
+TEST(HttpCall, AnswerWithoutAnIdAfterOneWithAnIdIsNotTaken)
+{
+    call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_TRUE(connection->isIdle());
+    CHECK_TRUE(call("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").end == CallEnd::Garbled);
+    CHECK_FALSE(connection->isOpen());
+    reconnect();
+    call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_TRUE(call("HTTP/1.1 200 OK\r\n\r\nends", true).end == CallEnd::Garbled);
+}
+
+// Guards against an upstream whose answers to requests without an id are refused because it has answered others.
+TEST(HttpCall, RequestWithoutAnIdTakesAnAnswerWithoutOne)
+{
+    call("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok");
+    std::optional<CallResult> result;
+    connection->send("GET / HTTP/1.1\r\n\r\n", "X-Id", "", false, [&](CallResult it) { result = std::move(it); });
+    asio::write(*upstream, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+    while (!result)
+        io.run_one();
+    CHECK_TRUE(result->end == CallEnd::Answered);
+}
+
 // Guards against many upstreams whose answers never end, or that do not read their requests, and which together fill
 // the memory of the host; other answers must be received meanwhile.
 TEST(HttpCall, UnfinishedMessagesOfManyConnectionsAreBounded)
