cli: Add check-configuration

Cause: a configuration was seen only by the hosts that refused or ignored it, and entries that contradict each other or never match were not reported at all.

--- a/Source/papayabend/cli/Command.h
+++ b/Source/papayabend/cli/Command.h
@@ -36,6 +36,8 @@
 std::vector<Command> callerCommands();
 /** Commands that check a file. */
 std::vector<Command> checkCommands();
+/** Commands that check a configuration before it is sent. */
+std::vector<Command> configurationCommands();
 /** Commands that read log files. */
 std::vector<Command> logCommands();
 
--- a/Source/papayabend/cli/Main.cpp
+++ b/Source/papayabend/cli/Main.cpp
@@ -12,6 +12,7 @@
 std::vector<cli::Command> allCommands()
 {
     auto all = cli::checkCommands();
+    std::ranges::move(cli::configurationCommands(), std::back_inserter(all));
     std::ranges::move(cli::logCommands(), std::back_inserter(all));
     std::ranges::move(cli::queryCommands(), std::back_inserter(all));
     std::ranges::move(cli::callerCommands(), std::back_inserter(all));
@@ -28,7 +29,7 @@
 {
     stream << "papayabend COMMAND [OPTIONS]; COMMAND --help describes the options. No command changes a host.\n\n";
     for (const auto& it : allCommands())
-        stream << "  " << std::left << std::setw(14) << it.name << it.summary << '\n';
+        stream << "  " << std::left << std::setw(21) << it.name << it.summary << '\n';
     return exitCode;
 }
 
--- a/Source/papayabend/routes/Configuration.cpp
+++ b/Source/papayabend/routes/Configuration.cpp
@@ -14,28 +14,28 @@
         return key;
     }
 
-    std::string errorOf(const Route& route)
-    {
-        if (route.host.empty())
-            return "has no virtual host";
-        if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/')
-            return "prefix \"" + route.prefix + "\" must begin and end with a slash";
-        if (route.destinations.empty() == route.shards.empty())
-            return "needs either destinations or shards";
-        if (std::ranges::any_of(route.destinations, [](const auto& it) { return !(it.weight >= 0); }))
-            return "has a destination with a negative weight";
-        if (route.maxAttempts == 0)
-            return "needs at least one attempt";
-        return {};
-    }
+}
 
+std::string problemOf(const Route& route)
+{
+    if (route.host.empty())
+        return "has no virtual host";
+    if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/')
+        return "prefix \"" + route.prefix + "\" must begin and end with a slash";
+    if (route.destinations.empty() == route.shards.empty())
+        return "needs either destinations or shards";
+    if (std::ranges::any_of(route.destinations, [](const auto& it) { return !(it.weight >= 0); }))
+        return "has a destination with a negative weight";
+    if (route.maxAttempts == 0)
+        return "needs at least one attempt";
+    return {};
 }
 
 std::shared_ptr<const Configuration> indexed(Configuration configuration, base::LastReason& reason)
 {
     for (size_t n = 0; n < configuration.routes.size(); ++n) {
         const auto& route = configuration.routes[n];
-        auto error = errorOf(route);
+        auto error = problemOf(route);
         if (!error.empty()) {
             reason.text = "route \"" + route.name + "\" " + error;
             return nullptr;
--- a/Source/papayabend/routes/Configuration.h
+++ b/Source/papayabend/routes/Configuration.h
@@ -65,6 +65,9 @@
     std::unordered_map<std::string, size_t> index;
 };
 
+/** Returns why \a route is invalid; empty if it is valid. */
+std::string problemOf(const Route& route);
+
 /** Checks \a configuration and builds its index. If it returns nullptr, the reason names the first invalid route and
  * the error. */
 std::shared_ptr<const Configuration> indexed(Configuration configuration, base::LastReason& reason);
