gateway: Test the first watch and the pauses of the store reader

Guards against a host that begins to read and confirms its content only when its first watch ends, and against asking for changes that other hosts have sent meanwhile.

--- a/Tests/gateway/StoreReaderTest.cpp
+++ b/Tests/gateway/StoreReaderTest.cpp
@@ -39,6 +39,34 @@
         reader->follow(std::nullopt);
     }
 
+    /** Follows the store from revision 5 with an adapter that encodes the arguments of a watch in its target. */
+    void watchFromRevision5(StoreEvents events)
+    {
+        adapter.watchTarget = [](std::string_view, uint64_t revision, base::Duration wait) {
+            return "/" + std::to_string(revision) + "/" + std::to_string(base::toMilliseconds(wait));
+        };
+        adapter.parseEvents = [](std::string_view, base::LastReason&) { return std::optional(StorePage {}); };
+        events.regained = [] {};
+        events.lost = [this](const std::string& reason) { problem = reason; };
+        auto address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        reader = std::make_unique<StoreReader>(io, adapter, address, 1, events);
+        reader->follow(5);
+    }
+
+    /** Returns the target of the next request on \a socket, which is answered with an empty body. */
+    std::string answerNextRequest(tcp::socket & socket)
+    {
+        std::string text;
+        bool isEnd = false;
+        asio::async_read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n",
+            [&](const boost::system::error_code&, size_t) { isEnd = true; });
+        auto end = base::BootClock::now() + 10s;
+        while (!isEnd && base::BootClock::now() < end)
+            io.run_for(5ms);
+        asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+        return text.substr(4, text.find(' ', 4) - 4);
+    }
+
     void runUntilListedOrLost()
     {
         auto end = base::BootClock::now() + 10s;
@@ -86,6 +114,32 @@
     STRCMP_EQUAL("key", listed.c_str());
 }
 
+// Guards against a host that begins to read and confirms its content only when the first watch ends, and against asking
+// for changes that other hosts have sent meanwhile.
+TEST(StoreReader, FirstWatchIsAnsweredAtOnceAndLaterOnesAsTheHostDecides)
+{
+    reader->stop();
+    store = tcp::socket(io);
+    tcp::acceptor next(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::swap(acceptor, next);
+    next.close();
+    uint64_t applied = 0;
+    int unchanged = 0;
+    StoreEvents events;
+    events.unchanged = [&] { ++unchanged; };
+    events.appliedRevision = [&] { return applied; };
+    events.watchTime = [] { return base::Duration(1650ms); };
+    events.pauseTime = [](bool) { return base::Duration(20ms); };
+    watchFromRevision5(events);
+    acceptor.accept(store);
+    STRCMP_EQUAL("/5/10", answerNextRequest(store).c_str());
+    applied = 9;
+    STRCMP_EQUAL("/9/1650", answerNextRequest(store).c_str());
+    STRCMP_EQUAL("/9/1650", answerNextRequest(store).c_str());
+    LONGS_EQUAL(2, unchanged);
+    STRCMP_EQUAL("", problem.c_str());
+}
+
 // Guards against a length that the store states and never sends.
 TEST(StoreReader, StatedLengthReservesNothing)
 {
