fleet: Test ranks, slots and stated ages of hosts

Guards against readers of the same rank, hosts that stand in at the same moment, readers that are not informed of answers, and a heartbeat that states an age of another moment.

Measured: fleet.Roles (10 cases) and fleet.FleetView (6 cases) pass.

--- a/Tests/fleet/FleetViewTest.cpp
+++ b/Tests/fleet/FleetViewTest.cpp
@@ -58,3 +58,14 @@
     CHECK_TRUE(view.apply(hostHeartbeat("b", "d1", 5, 2), now + 3s));
     LONGS_EQUAL(2, view.liveHosts(now + 4s));
 }
+
+// Guards against a confirmation of the store that is stated although there was none, or with the age of an earlier
+// heartbeat.
+TEST(FleetView, HeartbeatStatesTheAgeAtTheMomentOfSending)
+{
+    CHECK_TRUE(view.ownHeartbeat(now).storeAgeMs == Heartbeat::unknownStoreAge);
+    view.setStoreConfirmedAt(now);
+    LONGS_EQUAL(0, view.ownHeartbeat(now).storeAgeMs);
+    LONGS_EQUAL(1700, view.ownHeartbeat(now + 1700ms).storeAgeMs);
+    CHECK_TRUE(view.ownHeartbeat(now + std::chrono::hours(2000)).storeAgeMs != Heartbeat::unknownStoreAge);
+}
--- a/Tests/fleet/RolesTest.cpp
+++ b/Tests/fleet/RolesTest.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 using namespace papayabend;
 using namespace papayabend::fleet;
@@ -92,6 +93,59 @@
     LONGS_EQUAL(11, pushTargets(viewOf(0), now).size());
 }
 
+// Guards against readers that all take the same rank, so that they answer at the same moment, and against a large fleet
+// of one failure domain that hears of the store only once in a cycle.
+TEST(Roles, ReadersHaveDifferentRanks)
+{
+    for (auto [count, domains, expected] :
+        { std::tuple<size_t, size_t, size_t> { 6, 3, 2 }, { 60, 5, 5 }, { 40, 1, 2 }, { 1, 1, 1 } }) {
+        heartbeats.clear();
+        fill(count, domains);
+        std::set<size_t> ranks;
+        for (size_t n = 0; n < heartbeats.size(); ++n) {
+            auto role = readerRole(viewOf(n), now);
+            LONGS_EQUAL(expected, role.readers);
+            if (role.rank)
+                CHECK_TRUE(ranks.insert(*role.rank).second);
+        }
+        LONGS_EQUAL(expected, ranks.size());
+        LONGS_EQUAL(expected - 1, *ranks.rbegin());
+    }
+}
+
+// Guards against all hosts that stand in reading the store at the same moment.
+TEST(Roles, HostsHaveDifferentSlots)
+{
+    for (auto [count, domains] : { std::pair<size_t, size_t> { 6, 3 }, { 60, 3 } }) {
+        heartbeats.clear();
+        fill(count, domains);
+        heartbeats[0].stage = HostStage::Leaving;
+        std::set<std::pair<std::string, size_t>> slots;
+        for (size_t n = 0; n < heartbeats.size(); ++n) {
+            auto slot = readerSlot(viewOf(n), now);
+            auto group = count > FleetView::maxSmallFleet ? heartbeats[n].failureDomain : "";
+            CHECK_TRUE(slots.insert({ group, slot.position }).second);
+            CHECK_TRUE(slot.position < slot.count || n == 0);
+        }
+    }
+}
+
+// Guards against readers of other failure domains that hear of an answer of the store only with relayed heartbeats.
+TEST(Roles, ReadersOfOtherDomainsAreInformed)
+{
+    fill(60, 5);
+    std::set<std::string> others;
+    for (const auto& name : readers())
+        others.insert("peers." + name);
+    auto addresses = confirmationTargets(viewOf(0), now);
+    LONGS_EQUAL(11 + 4, addresses.size());
+    auto informed = std::ranges::count_if(addresses, [&](const auto& it) { return others.contains(it); });
+    CHECK_TRUE(informed >= 4);
+    heartbeats.clear();
+    fill(8, 3);
+    LONGS_EQUAL(7, confirmationTargets(viewOf(0), now).size());
+}
+
 // Guards against callers that move between all hosts when one is lost.
 TEST(Roles, LossOfAServingHostReplacesNoOther)
 {
