dispatch: Share one bound of fan-outs over the fleet

Each host limited its fan-outs alone, by the time in which half of the shards answer. Urgent requests were late because those with more time kept the queues long, whole answers were late while half of the shards were fast, and hosts that share the shards ran one fan-out each at least.

FleetAdmission learns a bound for all hosts from the time of the least share of shards, by the priority with the least time. A host takes the part that its share of the demand warrants, also below one fan-out, and refuses the rest at once with times to return that follow each other. Heartbeats state the bounds (fanOutRoom). admission.sharesOverFleet enables it; the default is as before.

--- a/Source/papayabend/fleet/DemandShare.cpp
+++ b/Source/papayabend/fleet/DemandShare.cpp
@@ -1,5 +1,7 @@
 #include "papayabend/fleet/DemandShare.h"
 
+#include <algorithm>
+
 namespace papayabend::fleet {
 
 namespace {
@@ -24,4 +26,11 @@
     return total > 0 ? (1 - equalPart) * own / total + equalPart * equal : equal;
 }
 
+double admissionShare(const FleetView& fleet, base::TimePoint now)
+{
+    auto heard = std::ranges::count_if(
+        fleet.members(), [now](const auto& it) { return now - it.second.lastHeardAt <= silentHostTime; });
+    return demandShare(fleet, now) * static_cast<double>(1 + heard) / static_cast<double>(1 + fleet.members().size());
+}
+
 }
--- a/Source/papayabend/fleet/DemandShare.h
+++ b/Source/papayabend/fleet/DemandShare.h
@@ -14,4 +14,9 @@
  */
 double demandShare(const FleetView&, base::TimePoint now);
 
+/** Returns this host's part of what all hosts may run at once: its demandShare(), less the equal part of known hosts
+ * that have been silent for longer. Those may run as cut off from this one; they are forgotten after the removal
+ * timeout. */
+double admissionShare(const FleetView&, base::TimePoint now);
+
 }
--- a/Source/papayabend/fleet/FleetView.h
+++ b/Source/papayabend/fleet/FleetView.h
@@ -38,6 +38,7 @@
     uint32_t demand { 0 }; /**< First attempts per second that its callers ask for, also those that it refuses. */
     /** Milliseconds since the host saw a change among those that it hears directly, see FleetCalm; 0: not stated. */
     uint32_t changeAgeMs { 0 };
+    std::string fanOutRoom; /**< Fan-outs that its sets of shards can bear, see dispatch::encodeNotices(). */
 };
 
 /** \struct Member
--- a/Source/papayabend/fleet/HeartbeatCodec.cpp
+++ b/Source/papayabend/fleet/HeartbeatCodec.cpp
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace papayabend::fleet {
 
@@ -23,7 +24,7 @@
         return json::array({ heartbeat.name, heartbeat.callerAddress, heartbeat.peerAddress, heartbeat.failureDomain,
             heartbeat.incarnation, heartbeat.sequence, static_cast<unsigned>(heartbeat.stage),
             heartbeat.configurationVersion, heartbeat.contentRevision, heartbeat.isStoreUnreachable, heartbeat.capacity,
-            heartbeat.load, heartbeat.demand, heartbeat.changeAgeMs });
+            heartbeat.load, heartbeat.demand, heartbeat.changeAgeMs, heartbeat.fanOutRoom });
     }
 
     // Hosts of previous versions expect the number of lost upstreams of each request, and no deeper nesting.
@@ -57,11 +58,14 @@
     {
         // Hosts of previous versions do not send the last ones.
         auto laterField = [&value](size_t index) { return value.size() > index ? value.at(index).get<uint32_t>() : 0; };
+        constexpr size_t roomIndex = 14;
+        auto room = value.size() > roomIndex ? value.at(roomIndex).get<std::string>() : std::string();
         auto stage = std::min(value.at(6).get<unsigned>(), static_cast<unsigned>(HostStage::Leaving));
         return { value.at(0).get<std::string>(), value.at(1).get<std::string>(), value.at(2).get<std::string>(),
             value.at(3).get<std::string>(), value.at(4).get<uint64_t>(), value.at(5).get<uint64_t>(),
             static_cast<HostStage>(stage), value.at(7).get<uint64_t>(), value.at(8).get<uint64_t>(),
-            value.at(9).get<bool>(), value.at(10).get<uint32_t>(), laterField(11), laterField(12), laterField(13) };
+            value.at(9).get<bool>(), value.at(10).get<uint32_t>(), laterField(11), laterField(12), laterField(13),
+            std::move(room) };
     }
 
 }
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -72,11 +72,11 @@
         return refuse(503, "at_limit", "the upstreams have named limits or pauses that admit no more requests now",
             std::max(wait, minRetryAfter));
     if (isFanOut()) {
-        if (!m_state.limiter.tryAcquire(m_route->shards.front(), m_trafficClass, now))
+        if (auto wait = acquireFanOut(now))
             return refuse(503, "overload",
                 "the shards are overloaded; concurrency limit of this host: "
-                    + std::to_string(static_cast<int>(std::ceil(m_state.limiter.limit(m_route->shards.front())))),
-                minRetryAfter);
+                    + std::to_string(static_cast<int>(std::ceil(fanOutLimit()))),
+                *wait);
         m_holdsLimiter = true;
     }
     m_state.exchanges.emplace(this, weak_from_this());
@@ -396,7 +396,7 @@
                 failSubrequest(subrequest, subrequest.lastReason);
         }
         replaceWaitingAttempt(subrequest, now);
-        auto mayHedge = !isFanOut() || !m_state.limiter.isOverloaded(m_route->shards.front());
+        auto mayHedge = !isFanOut() || !isOverloaded();
         if (!mayHedge || now < subrequest.noHedgeUntil || !dispatch::isHedgeDue(policy(), subrequest.history, now))
             continue;
         // A request under which an upstream has just ended goes to one upstream at a time.
@@ -422,13 +422,13 @@
     if ((isFanOut() || mayBeUnsent) && m_objectiveAt > now)
         due = std::min(due, m_objectiveAt);
     auto hedging = policy();
-    auto isOverloaded = isFanOut() && m_state.limiter.isOverloaded(m_route->shards.front());
+    auto hedgesAreHeld = isFanOut() && isOverloaded();
     for (const auto& subrequest : m_subrequests) {
         if (subrequest.phase != SubrequestPhase::Open)
             continue;
         if (subrequest.retryAt)
             due = std::min(due, *subrequest.retryAt);
-        auto mayHedge = hedging.isIdempotent && !isOverloaded && subrequest.history.inFlight == 1
+        auto mayHedge = hedging.isIdempotent && !hedgesAreHeld && subrequest.history.inFlight == 1
             && subrequest.history.sent > 0 && dispatch::mayRetry(hedging, subrequest.history) && hasUntried(subrequest);
         if (mayHedge)
             due = std::min(due, std::max(subrequest.history.lastSentAt + m_hedgeDelay, subrequest.noHedgeUntil));
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -124,6 +124,14 @@
     void answerMerged();
     /** Reports the load that the fan-out has met to the limiter, once, and again if it has failed for lack of room. */
     void reportLoad(bool hasFailed, base::TimePoint now);
+    /** Reports the times of the fan-out to FleetAdmission, under the same conditions. */
+    void reportTimes(bool hasFailed, base::TimePoint now);
+    /** Counts the fan-out as running if there is room for it; otherwise returns the time to wait. */
+    std::optional<base::Duration> acquireFanOut(base::TimePoint now);
+    /** Returns the number of fan-outs over the request's shards that this host may run at once. */
+    double fanOutLimit() const;
+    /** Returns whether hedges would increase the delay of the fan-outs over the request's shards. */
+    bool isOverloaded() const;
     void releaseLimiter();
     void finish(const Answer&, const char* outcome);
     void refuse(unsigned status, const char* outcome, const std::string& reason, base::Duration retryAfter,
@@ -164,6 +172,8 @@
     base::TimePoint m_finishedAt {};
     std::string m_reason; /**< Why the request was refused. */
     bool m_holdsLimiter { false }; /**< The request counts against the concurrency limit of its shards. */
+    bool m_sharesOverFleet { false }; /**< FleetAdmission has admitted it, not the concurrency limiter. */
+    std::optional<base::TimePoint> m_halfAt; /**< Half of the shards have answered. */
     bool m_isLoadReported { false }; /**< reportLoad() has reported to the limiter. */
     bool m_isFinished { false };
     bool m_isStartingAttempts { false }; /**< decide() and armTimer() are called once after all attempts are started. */
--- a/Source/papayabend/gateway/ExchangeAnswer.cpp
+++ b/Source/papayabend/gateway/ExchangeAnswer.cpp
@@ -1,4 +1,5 @@
 #include "papayabend/dispatch/FanOutPressure.h"
+#include "papayabend/dispatch/Gather.h"
 #include "papayabend/dispatch/RecordMerge.h"
 #include "papayabend/gateway/Exchange.h"
 
@@ -69,8 +70,34 @@
     finish(plainAnswer(502, "too many shards failed"), "too_few_shards");
 }
 
+void Exchange::reportTimes(bool hasFailed, base::TimePoint now)
+{
+    auto shards = static_cast<uint32_t>(m_subrequests.size());
+    if (!m_halfAt && 2 * m_answered >= shards)
+        m_halfAt = now;
+    // The time for the way back of the caller is not load.
+    auto isLate = now >= m_arrivedAt + m_objective;
+    auto isDecided = hasFailed || isLate || dispatch::isEnough(m_answered, shards, m_route->minShardShare);
+    if (!isDecided || (m_isLoadReported && !hasFailed))
+        return;
+    auto isLacking = [](const auto& it) { return it.phase == SubrequestPhase::Failed && it.wasTurnedAway; };
+    auto turnedAway = static_cast<uint32_t>(std::ranges::count_if(m_subrequests, isLacking));
+    auto isLost = hasFailed && turnedAway > 0 && 2 * turnedAway >= m_failed;
+    // A fan-out that fails early for other reasons says nothing about the load.
+    if (!isLost && (m_isLoadReported || (hasFailed && !isLate)))
+        return;
+    m_isLoadReported = true;
+    auto relative = [this](base::TimePoint time) {
+        return std::chrono::duration<double>(time - m_arrivedAt) / std::chrono::duration<double>(m_objective);
+    };
+    m_state.admission.observe(m_route->shards.front(), m_trafficClass.priority,
+        { relative(m_halfAt.value_or(now)), relative(now), isLost }, now);
+}
+
 void Exchange::reportLoad(bool hasFailed, base::TimePoint now)
 {
+    if (m_sharesOverFleet)
+        return reportTimes(hasFailed, now);
     if (m_isLoadReported && !hasFailed)
         return;
     auto isLacking = [](const auto& it) { return it.phase == SubrequestPhase::Failed && it.wasTurnedAway; };
@@ -88,7 +115,11 @@
     if (!m_holdsLimiter)
         return;
     m_holdsLimiter = false;
-    m_state.limiter.release(m_route->shards.front(), m_trafficClass, m_finishedAt - m_arrivedAt);
+    const auto& shards = m_route->shards.front();
+    if (m_sharesOverFleet)
+        m_state.admission.release(shards, m_trafficClass, m_finishedAt - m_arrivedAt, m_finishedAt);
+    else
+        m_state.limiter.release(shards, m_trafficClass, m_finishedAt - m_arrivedAt);
 }
 
 void Exchange::answerMerged()
--- a/Source/papayabend/gateway/ExchangeGate.cpp
+++ b/Source/papayabend/gateway/ExchangeGate.cpp
@@ -108,6 +108,27 @@
     return true;
 }
 
+std::optional<base::Duration> Exchange::acquireFanOut(base::TimePoint now)
+{
+    const auto& shards = m_route->shards.front();
+    m_sharesOverFleet = m_state.settings.admission.sharesOverFleet;
+    if (m_sharesOverFleet)
+        return m_state.admission.tryAcquire(shards, m_trafficClass, m_state.random, now);
+    return m_state.limiter.tryAcquire(shards, m_trafficClass, now) ? std::nullopt : std::optional(minRetryAfter);
+}
+
+double Exchange::fanOutLimit() const
+{
+    const auto& shards = m_route->shards.front();
+    return m_sharesOverFleet ? m_state.admission.limit(shards) : m_state.limiter.limit(shards);
+}
+
+bool Exchange::isOverloaded() const
+{
+    const auto& shards = m_route->shards.front();
+    return m_sharesOverFleet ? m_state.admission.isOverloaded(shards) : m_state.limiter.isOverloaded(shards);
+}
+
 bool Exchange::isServable() const
 {
     auto usable
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -6,6 +6,7 @@
 #include "papayabend/gateway/Exchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -198,6 +199,33 @@
     return answer;
 }
 
+void GatewayHost::updateAdmission(base::TimePoint now)
+{
+    // Most sets of shards in a heartbeat.
+    constexpr size_t maxNotices = 4;
+    auto& self = m_state.fleet.self();
+    self.fanOutRoom.clear();
+    if (!m_state.settings.admission.sharesOverFleet)
+        return;
+    m_state.admission.setShare(fleet::admissionShare(m_state.fleet, now));
+    std::vector<dispatch::AdmissionNotice> notices;
+    for (const auto& [name, member] : m_state.fleet.members()) {
+        if (!member.heartbeat.fanOutRoom.empty() && now - member.lastHeardAt <= fleet::FleetView::livenessTimeout)
+            std::ranges::copy(dispatch::decodeNotices(member.heartbeat.fanOutRoom), std::back_inserter(notices));
+    }
+    m_state.admission.merge(notices, now);
+    self.fanOutRoom = dispatch::encodeNotices(m_state.admission.notices(maxNotices, now));
+    auto overloaded = m_state.admission.overloadedSets(now);
+    if (overloaded != m_overloadedSets)
+        logEvent("admission",
+            LogFields()
+                .add("overloadedSets", static_cast<int64_t>(overloaded))
+                .add("smallestLimit", static_cast<int64_t>(std::ceil(m_state.admission.smallestLimit())))
+                .add("sharePermille", static_cast<int64_t>(1000 * fleet::admissionShare(m_state.fleet, now))),
+            LineClass::Change);
+    m_overloadedSets = overloaded;
+}
+
 void GatewayHost::updateCalm(base::TimePoint now)
 {
     fleet::observe(m_calm, m_state.fleet, now);
@@ -249,6 +277,7 @@
     fleet::observe(m_demandEstimate, m_state.wantedAttempts, now, fleet::demandHalfLife);
     m_state.fleet.self().demand = static_cast<uint32_t>(m_demandEstimate.perSecond);
     m_state.gate.limitShare = fleet::demandShare(m_state.fleet, now);
+    updateAdmission(now);
     updateStoreReader(now);
     pullIfBehind(now);
     dropUnusedEncoding(now);
@@ -436,6 +465,8 @@
     counter("pauses_total", m_pauseDetector.pauses());
     gauge("is_serving", fleet::isServing(m_state.fleet, servingSettings(), now) ? 1 : 0);
     gauge("serving_hosts", fleet::servingCount(m_state.fleet, servingSettings(), now));
+    gauge("admission_overloaded_sets", m_state.admission.overloadedSets(now));
+    gauge("admission_smallest_limit", m_state.admission.smallestLimit());
     gauge("entry_time_to_live_seconds",
         std::chrono::duration<double>(fleet::entryTimeToLive(m_calm, validitySettings(), now)).count());
     counter("entry_answers_total", m_entryAnswers);
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -86,6 +86,8 @@
     fleet::EntryValiditySettings validitySettings() const;
     /** Returns the answer to a question of a caller in \a failureDomain for the addresses to use. */
     Answer entryAnswer(const std::string& failureDomain);
+    /** Exchanges the bounds of fan-outs with the other hosts, and logs the begin and end of an overload. */
+    void updateAdmission(base::TimePoint now);
     /** Records changes of the fleet that determine how long entry answers are valid, and logs them. */
     void updateCalm(base::TimePoint now);
     /** Does the periodic work and schedules the next run. */
@@ -155,6 +157,7 @@
     fleet::LoadEstimate m_demandEstimate;
     fleet::FleetCalm m_calm;
     bool m_wasCalm { false };
+    size_t m_overloadedSets { 0 };
     uint64_t m_entryAnswers { 0 };
     uint64_t m_calmEntryAnswers { 0 }; /**< Those with the longer validity of a calm fleet. */
     base::TimePoint m_startedAt {};
--- a/Source/papayabend/gateway/GatewaySettings.cpp
+++ b/Source/papayabend/gateway/GatewaySettings.cpp
@@ -48,6 +48,8 @@
     keys.flag("prefersStrongHosts", answers.prefersStrongHosts);
 }
 
+static void visit(auto& keys, AdmissionSettings& admission) { keys.flag("sharesOverFleet", admission.sharesOverFleet); }
+
 static void visit(auto& keys, TableSettings& table) { keys.text("file", table.file); }
 
 static void visit(auto& keys, EventLogSettings& log)
@@ -66,6 +68,7 @@
     keys.section("retryBudget", settings.retryBudget);
     keys.section("stop", settings.stop);
     keys.section("entryAnswers", settings.entryAnswers);
+    keys.section("admission", settings.admission);
     keys.section("table", settings.table);
     keys.section("log", settings.log);
 }
--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -80,6 +80,13 @@
     bool prefersStrongHosts { false }; /**< Weak hosts are named only if the strong ones do not suffice. */
 };
 
+/** \struct AdmissionSettings
+ * \brief Limits of the fan-outs that run at once.
+ */
+struct AdmissionSettings {
+    bool sharesOverFleet { false }; /**< All hosts share one bound for a set of shards, see FleetAdmission. */
+};
+
 /** \struct TableSettings
  * \brief The table of weights and limits of client accounts.
  */
@@ -107,6 +114,7 @@
     BudgetSettings retryBudget;
     StopSettings stop;
     EntryAnswerSettings entryAnswers;
+    AdmissionSettings admission;
     TableSettings table;
     EventLogSettings log;
 };
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -4,6 +4,7 @@
 #include "papayabend/dispatch/AccountGrants.h"
 #include "papayabend/dispatch/ConcurrencyLimiter.h"
 #include "papayabend/dispatch/CrashSuspects.h"
+#include "papayabend/dispatch/FleetAdmission.h"
 #include "papayabend/dispatch/LatencyEstimate.h"
 #include "papayabend/dispatch/RetryBudget.h"
 #include "papayabend/dispatch/ReturnTime.h"
@@ -46,6 +47,7 @@
     /** First attempts that the requests of callers asked for since the start of the process. */
     uint64_t wantedAttempts { 0 };
     dispatch::ConcurrencyLimiter limiter;
+    dispatch::FleetAdmission admission; /**< Used instead of the limiter with admission.sharesOverFleet. */
     routes::SplitChoice split;
     std::unordered_map<std::string, dispatch::LatencyEstimate> latency; /**< By route name. */
     base::Random random;
--- a/Tests/fleet/DemandShareTest.cpp
+++ b/Tests/fleet/DemandShareTest.cpp
@@ -210,3 +210,34 @@
     DOUBLES_EQUAL(0.5, demandShare(fleet, now + 7s), 0.001);
     DOUBLES_EQUAL(1, demandShare(fleet, now + 9s), 0.001);
 }
+
+// Guards against hosts on both sides of a network partition that each admit as much as the whole fleet while they may
+// still know that there are others.
+TEST(DemandShare, AdmissionSharesOfAPartitionedFleetAddUpToOne)
+{
+    base::TimePoint now { 100s };
+    std::vector<Heartbeat> heartbeats;
+    for (size_t n = 0; n < 12; ++n) {
+        heartbeats.push_back(hostHeartbeat("h" + std::to_string(n), "d"));
+        heartbeats.back().demand = static_cast<uint32_t>(10 * n);
+    }
+    for (auto later : { 0s, 5s, 10s, 29s }) {
+        double sum = 0;
+        for (size_t n = 0; n < heartbeats.size(); ++n) {
+            FleetView view(heartbeats[n]);
+            for (const auto& heartbeat : heartbeats)
+                view.apply(heartbeat, now);
+            for (size_t other = 0; other < heartbeats.size(); ++other) {
+                auto isSameSide = (other < 4) == (n < 4);
+                ++heartbeats[other].sequence;
+                if (isSameSide)
+                    view.apply(heartbeats[other], now + later);
+            }
+            view.removeSilentHosts(now + later);
+            sum += admissionShare(view, now + later);
+        }
+        DOUBLES_EQUAL(1, sum, 0.01);
+    }
+    FleetView alone(heartbeats[3]);
+    DOUBLES_EQUAL(1, admissionShare(alone, now), 0.001);
+}
--- a/Tests/fleet/HeartbeatCodecTest.cpp
+++ b/Tests/fleet/HeartbeatCodecTest.cpp
@@ -31,6 +31,7 @@
     heartbeat.load = 1700;
     heartbeat.demand = 800;
     heartbeat.changeAgeMs = 70'000;
+    heartbeat.fanOutRoom = std::string("\0\xff", 2);
     auto message = decode(
         encodeHeartbeats({ { heartbeat }, { { 99, 5, 6, dispatch::LossState::ServiceOnly, 70ms }, { 99, 8, 9 } },
             std::string("\0x", 2), { { 77, 22.5, base::Duration(1500) }, { 78, std::nullopt, base::Duration(0) } } }));
@@ -49,6 +50,7 @@
     LONGS_EQUAL(1700, read.load);
     LONGS_EQUAL(800, read.demand);
     LONGS_EQUAL(70'000, read.changeAgeMs);
+    CHECK_TRUE(read.fanOutRoom == heartbeat.fanOutRoom);
     LONGS_EQUAL(77, message->limits[0].upstream);
     DOUBLES_EQUAL(22.5, *message->limits[0].perSecond, 0);
     LONGS_EQUAL(1500, message->limits[0].age.count());
--- a/Tests/gateway/ExchangeTest.cpp
+++ b/Tests/gateway/ExchangeTest.cpp
@@ -348,6 +348,34 @@
     CHECK_FALSE(state->limiter.isOverloaded("s0"));
 }
 
+// Guards against a bound of the fleet that does not see the load of fan-outs, or takes lost connections or the way back
+// of callers for load, and against places that fan-outs keep after their end.
+TEST(Exchange, BoundOfTheFleetFollowsTheLoadOfFanOuts)
+{
+    state->settings.admission.sharesOverFleet = true;
+    addUpstream("full", Behaviour::Refuse);
+    addUpstream("reset", Behaviour::ResetAfterRequest);
+    addUpstream("slow", Behaviour::Answer).delay = 80ms;
+    addFanOut("/full/", { "full" }, 1);
+    addFanOut("/reset/", { "reset" }, 1);
+    addFanOut("/slow/", { "slow" }, 1);
+    publish();
+    begin("/reset/1");
+    CHECK_EQUAL(502U, runToAnswer());
+    CHECK_FALSE(state->admission.isOverloaded("reset"));
+    for (int n = 0; n < 8; ++n) {
+        begin("/slow/1", { .roundTrip = 50ms, .isNewConnection = true });
+        CHECK_EQUAL(200U, runToAnswer());
+    }
+    CHECK_FALSE(state->admission.isOverloaded("slow"));
+    LONGS_EQUAL(1, state->admission.notices(4, base::BootClock::now()).size());
+    begin("/full/1");
+    runToAnswer();
+    CHECK_TRUE(state->admission.isOverloaded("full"));
+    CHECK_TRUE(state->admission.limit("full") <= 2);
+    CHECK_FALSE(state->limiter.isOverloaded("full"));
+}
+
 // Guards against a request that waits for a connection until its deadline. It must be refused at its latency objective,
 // so that the client has time to try another host.
 TEST(Exchange, RequestThatFindsNoConnectionIsRefusedAtItsObjective)
--- a/Tests/gateway/GatewaySettingsTest.cpp
+++ b/Tests/gateway/GatewaySettingsTest.cpp
@@ -67,6 +67,7 @@
     auto validity = validityOf(plain->entryAnswers, plain->stop);
     CHECK_TRUE(validity.timeToLive == std::chrono::seconds(2) && validity.calmTimeToLive == validity.timeToLive);
     CHECK_FALSE(servingOf(plain->entryAnswers).prefersStrongHosts);
+    CHECK_FALSE(plain->admission.sharesOverFleet);
     auto set = parse(R"(, "entryAnswers": { "calmTimeToLiveSeconds": 5, "prefersStrongHosts": true })");
     CHECK_TRUE(validityOf(set->entryAnswers, set->stop).calmTimeToLive == std::chrono::seconds(5));
     CHECK_TRUE(servingOf(set->entryAnswers).prefersStrongHosts);
