fleet: Rank the hosts of an answer once

An entry answer with strong hosts preferred went through the fleet twice, and the sort hashed names in each comparison. servingDomain() returns hosts and room together, and ranks are computed once for each host.

--- a/Source/papayabend/fleet/EntryAddresses.cpp
+++ b/Source/papayabend/fleet/EntryAddresses.cpp
@@ -37,7 +37,7 @@
      */
     struct OtherDomain {
         std::string name;
-        DomainRoom room;
+        ServingDomain serving;
     };
 
     /** Returns the failure domains other than \a own that are not evacuated: those with headroom first, then the
@@ -51,11 +51,12 @@
         std::vector<OtherDomain> domains;
         for (const auto& name : names) {
             if (name != own && !options.evacuatedDomains.contains(name))
-                domains.push_back({ name, domainRoom(fleet, name, settings, now) });
+                domains.push_back({ name, servingDomain(fleet, name, settings, now) });
         }
         auto rank = [&](const OtherDomain& domain) {
-            auto spare = domain.room.hasRoom() ? domain.room.capacity - domain.room.load : 0;
-            return std::tuple(domain.room.hasRoom(), isSameRegion(options, own, domain.name), spare,
+            const auto& room = domain.serving.room;
+            auto spare = room.hasRoom() ? room.capacity - room.load : 0;
+            return std::tuple(room.hasRoom(), isSameRegion(options, own, domain.name), spare,
                 base::rendezvousScore(own, domain.name));
         };
         std::ranges::sort(domains, [&](const auto& a, const auto& b) { return rank(a) > rank(b); });
@@ -63,18 +64,17 @@
     }
 
     /** Adds hosts of other failure domains if \a hosts of the own one are too few or cannot carry its load. */
-    void addOtherDomains(Hosts& hosts, const FleetView& fleet, std::string_view failureDomain,
+    void addOtherDomains(Hosts& hosts, const DomainRoom& room, const FleetView& fleet, std::string_view failureDomain,
         const ServingSettings& settings, const EntryOptions& options, base::TimePoint now)
     {
-        auto room = domainRoom(fleet, failureDomain, settings, now);
         auto excess = room.load > room.capacity ? room.load - room.capacity : 0;
         auto ownHosts = hosts.size();
         if (ownHosts >= minLocalHosts && excess == 0)
             return;
         for (const auto& domain : otherDomains(fleet, failureDomain, settings, options, now)) {
-            if (hosts.size() >= minLocalHosts && (excess == 0 || !domain.room.hasRoom()))
+            if (hosts.size() >= minLocalHosts && (excess == 0 || !domain.serving.room.hasRoom()))
                 return;
-            for (const auto* heartbeat : servingHosts(fleet, domain.name, settings, now)) {
+            for (const auto* heartbeat : domain.serving.hosts) {
                 // Callers choose evenly, so each added host takes an equal part of the load.
                 auto isExcessCarried = room.load * (hosts.size() - ownHosts) >= excess * hosts.size();
                 if (ownHosts >= minLocalHosts && isExcessCarried)
@@ -116,12 +116,12 @@
 {
     auto isProbablyIsolated
         = static_cast<double>(fleet.liveHosts(now)) < minLiveShare * static_cast<double>(1 + fleet.members().size());
-    Hosts hosts;
+    auto [hosts, room] = servingDomain(fleet, failureDomain, settings, now);
     auto isEvacuated = options.evacuatedDomains.contains(failureDomain);
-    if (!isEvacuated)
-        hosts = servingHosts(fleet, failureDomain, settings, now);
+    if (isEvacuated)
+        hosts.clear();
     if (settings.prefersStrongHosts || isEvacuated)
-        addOtherDomains(hosts, fleet, failureDomain, settings, options, now);
+        addOtherDomains(hosts, room, fleet, failureDomain, settings, options, now);
     if (hosts.size() < minLocalHosts || isProbablyIsolated)
         addAllHosts(hosts, fleet, settings, options, isProbablyIsolated, now);
     hosts.resize(std::min(hosts.size(), limit));
--- a/Source/papayabend/fleet/Roles.cpp
+++ b/Source/papayabend/fleet/Roles.cpp
@@ -4,10 +4,12 @@
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 #include <map>
 #include <set>
 #include <span>
 #include <tuple>
+#include <utility>
 
 namespace papayabend::fleet {
 
@@ -117,11 +119,16 @@
         if (!otherLoads.empty())
             hosts.lossLoad = std::ranges::max_element(otherLoads, {}, [](const auto& it) { return it.second; })->second
                 / otherLoads.size();
-        auto rank = [&](const Heartbeat& heartbeat) {
-            return std::tuple(settings.prefersStrongHosts && isStrong(heartbeat, strongest),
-                std::bit_width(heartbeat.capacity), base::rendezvousScore(servingKey, heartbeat.name));
-        };
-        std::ranges::sort(hosts.ready, [&](const auto* a, const auto* b) { return rank(*a) > rank(*b); });
+        // Ranks are computed once for each host: a hash in each comparison would take most of the time of an answer.
+        using Rank = std::tuple<bool, int, uint64_t>;
+        std::vector<std::pair<Rank, const Heartbeat*>> ranked;
+        std::ranges::transform(hosts.ready, std::back_inserter(ranked), [&](const auto* it) {
+            return std::pair(Rank(settings.prefersStrongHosts && isStrong(*it, strongest), std::bit_width(it->capacity),
+                                 base::rendezvousScore(servingKey, it->name)),
+                it);
+        });
+        std::ranges::sort(ranked, std::ranges::greater(), [](const auto& it) { return it.first; });
+        std::ranges::transform(ranked, hosts.ready.begin(), [](const auto& it) { return it.second; });
         if (settings.prefersStrongHosts)
             hosts.strong = static_cast<size_t>(
                 std::ranges::count_if(hosts.ready, [&](const auto* it) { return isStrong(*it, strongest); }));
@@ -173,20 +180,22 @@
     return addresses;
 }
 
-std::vector<const Heartbeat*> servingHosts(
+ServingDomain servingDomain(
     const FleetView& fleet, std::string_view failureDomain, const ServingSettings& settings, base::TimePoint now)
 {
     auto hosts = hostsOf(fleet, failureDomain, settings, now);
+    auto count = fewestHosts(hosts.ready, 1, UINT64_MAX, settings);
+    ServingDomain domain;
+    domain.room = { hosts.load, evenCapacity(std::span(hosts.ready).first(count), settings) };
     hosts.ready.resize(servingHostsOf(hosts, settings));
-    return hosts.ready;
+    domain.hosts = std::move(hosts.ready);
+    return domain;
 }
 
-DomainRoom domainRoom(
+std::vector<const Heartbeat*> servingHosts(
     const FleetView& fleet, std::string_view failureDomain, const ServingSettings& settings, base::TimePoint now)
 {
-    auto hosts = hostsOf(fleet, failureDomain, settings, now);
-    auto count = fewestHosts(hosts.ready, 1, UINT64_MAX, settings);
-    return { hosts.load, evenCapacity(std::span(hosts.ready).first(count), settings) };
+    return servingDomain(fleet, failureDomain, settings, now).hosts;
 }
 
 size_t servingCount(const FleetView& fleet, const ServingSettings& settings, base::TimePoint now)
--- a/Source/papayabend/fleet/Roles.h
+++ b/Source/papayabend/fleet/Roles.h
@@ -41,9 +41,6 @@
     bool hasRoom() const { return load < capacity; }
 };
 
-/** Returns the room of \a failureDomain if callers choose evenly among its serving hosts. */
-DomainRoom domainRoom(const FleetView&, std::string_view failureDomain, const ServingSettings&, base::TimePoint now);
-
 /** Returns the hosts of \a failureDomain that callers are sent to; hosts with equal views of the fleet agree on them.
  *
  * These are ready hosts, as many as the load of the failure domain needs: with fewer hosts, each has more connections
@@ -57,6 +54,18 @@
 std::vector<const Heartbeat*> servingHosts(
     const FleetView&, std::string_view failureDomain, const ServingSettings&, base::TimePoint now);
 
+/** \struct ServingDomain
+ * \brief Hosts of a failure domain that callers are sent to, and its room if callers choose evenly among its hosts.
+ */
+struct ServingDomain {
+    std::vector<const Heartbeat*> hosts;
+    DomainRoom room;
+};
+
+/** Returns the servingHosts() of \a failureDomain and its room. */
+ServingDomain servingDomain(
+    const FleetView&, std::string_view failureDomain, const ServingSettings&, base::TimePoint now);
+
 /** Returns the number of hosts that callers are sent to, over all failure domains; at least 1. */
 size_t servingCount(const FleetView&, const ServingSettings&, base::TimePoint now);
 
