--- a/Source/papayabend/fleet/FleetView.h
+++ b/Source/papayabend/fleet/FleetView.h
@@ -40,6 +40,7 @@
     uint32_t storeAgeMs { unknownStoreAge };
     /** Milliseconds since the host saw a change among those that it hears directly, see FleetCalm; 0: not stated. */
     uint32_t changeAgeMs { 0 };
+    std::string fanOutRoom; /**< Fan-outs that its sets of shards can bear, see dispatch::encodeNotices(). */
 
     /** Hosts of previous versions, and those without a confirmation, state no age. */
     static constexpr uint32_t unknownStoreAge = UINT32_MAX;
--- a/Source/papayabend/gateway/GatewaySettings.cpp
+++ b/Source/papayabend/gateway/GatewaySettings.cpp
@@ -50,6 +50,8 @@
 
 static void visit(auto& keys, UpstreamChoiceSettings& choice) { keys.flag("learnsCapacity", choice.learnsCapacity); }
 
+static void visit(auto& keys, AdmissionSettings& admission) { keys.flag("sharesOverFleet", admission.sharesOverFleet); }
+
 static void visit(auto& keys, TableSettings& table) { keys.text("file", table.file); }
 
 static void visit(auto& keys, EventLogSettings& log)
@@ -69,6 +71,7 @@
     keys.section("stop", settings.stop);
     keys.section("entryAnswers", settings.entryAnswers);
     keys.section("routing", settings.routing);
+    keys.section("admission", settings.admission);
     keys.section("table", settings.table);
     keys.section("log", settings.log);
 }
--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -87,6 +87,13 @@
     bool learnsCapacity { false }; /**< Chooses by dispatch::UpstreamEstimate. */
 };
 
+/** \struct AdmissionSettings
+ * \brief Limits of the fan-outs that run at once.
+ */
+struct AdmissionSettings {
+    bool sharesOverFleet { false }; /**< All hosts share one bound for a set of shards, see FleetAdmission. */
+};
+
 /** \struct TableSettings
  * \brief The table of weights and limits of client accounts.
  */
@@ -115,6 +122,7 @@
     StopSettings stop;
     EntryAnswerSettings entryAnswers;
     UpstreamChoiceSettings routing;
+    AdmissionSettings admission;
     TableSettings table;
     EventLogSettings log;
 };
