gateway: Name hosts of evacuated failure domains last

Callers of an evacuated failure domain went on to its hosts, all of whose upstreams are then in other failure domains.

--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -190,7 +190,10 @@
 Answer GatewayHost::entryAnswer(const std::string& failureDomain)
 {
     auto now = base::BootClock::now();
-    auto addresses = fleet::entryAddresses(m_state.fleet, failureDomain, servingSettings(), maxEntryAddresses, now);
+    auto evacuated = m_state.content.evacuations().failureDomains();
+    fleet::EntryOptions options { .evacuatedDomains = { evacuated.begin(), evacuated.end() } };
+    auto addresses
+        = fleet::entryAddresses(m_state.fleet, failureDomain, servingSettings(), maxEntryAddresses, now, options);
     auto timeToLive = fleet::entryTimeToLive(m_calm, validitySettings(), now);
     ++m_entryAnswers;
     m_calmEntryAnswers += timeToLive > validitySettings().timeToLive ? 1 : 0;
