--- a/Source/papayabend/gateway/GatewaySettings.cpp
+++ b/Source/papayabend/gateway/GatewaySettings.cpp
@@ -53,6 +53,16 @@
     keys.number("successesPerSecond", log.successesPerSecond, 0, 100'000);
 }
 
+static void visit(auto& keys, ClientSettings& clients)
+{
+    keys.number("bufferedBytes", clients.bufferedBytes, 1'000'000, 1'000'000'000);
+    keys.number("connections", clients.connections, 0, 1'000'000);
+    keys.number("connectionsPerListener", clients.connectionsPerListener, 0, 1'000'000);
+    keys.number("reservedDescriptors", clients.reservedDescriptors, 0, 1'000'000);
+    keys.number("headerFields", clients.headerFields, 16, 65'536);
+    keys.number("chunkFramingBytes", clients.chunkFramingBytes, 1'000, 1'000'000'000);
+}
+
 static void visit(auto& keys, GatewaySettings& settings)
 {
     keys.section("host", settings.host);
@@ -64,6 +74,7 @@
     keys.section("entryAnswers", settings.entryAnswers);
     keys.section("table", settings.table);
     keys.section("log", settings.log);
+    keys.section("clients", settings.clients);
 }
 
 std::optional<GatewaySettings> parseGatewaySettings(
--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -92,6 +92,23 @@
     uint32_t successesPerSecond { 5 }; /**< Lines for served requests. */
 };
 
+/** \struct ClientSettings
+ * \brief Bounds on what clients of all listeners may take of this host.
+ *
+ * A single client that keeps to the limits of the configuration reaches none of the defaults.
+ */
+struct ClientSettings {
+    /** Bytes of messages that all connections may hold before the largest ones are given up. */
+    uint32_t bufferedBytes { 32 * 1024 * 1024 };
+    uint32_t connections { 0 }; /**< Of all listeners; 0: what reservedDescriptors leaves. */
+    uint32_t connectionsPerListener { 0 }; /**< 0: seven eighths of those of all listeners. */
+    /** File descriptors for upstreams, the store, hosts and files; 0: a third of the limit of the process. */
+    uint32_t reservedDescriptors { 0 };
+    uint32_t headerFields { 4096 }; /**< Of a request, those of its trailer included. */
+    /** Of a request: sizes and extensions of chunks, and the trailer. */
+    uint32_t chunkFramingBytes { 2 * 1024 * 1024 };
+};
+
 /** \struct GatewaySettings
  * \brief Everything that a gateway reads from its settings file.
  */
@@ -105,6 +122,7 @@
     EntryAnswerSettings entryAnswers;
     TableSettings table;
     EventLogSettings log;
+    ClientSettings clients;
 };
 
 /** Parses JSON with comments; errors state the file, key, value and allowed range. */
