platform: Refuse values of the store whose tree fills the memory

A JSON text of 4 MB that consists of 2.1 million arrays was parsed into a tree of 150 MB. Depth alone is not bounded: the parser does not recurse, and an existing test expects that an unknown field may nest 100,000 arrays.

--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -1,4 +1,5 @@
 #include "platform/Decode.h"
+#include "platform/Calls.h"
 
 #include <CppUTest/TestHarness.h>
 #include <nlohmann/json.hpp>
@@ -27,6 +28,22 @@
     }
 };
 
+// Guards against a value of the store whose tree fills the memory of the host.
+TEST(Decode, ValuesOfManyArraysAreNotParsed)
+{
+    std::string deep(1'000'000, '[');
+    std::string wide = "[";
+    for (auto n = 0; n < 1'000'000; ++n)
+        wide += "[],";
+    wide += "1]";
+    for (const auto& value : { deep, wide }) {
+        CHECK_FALSE(platform::parseUpstream("i-1", value, reason).has_value());
+        STRCMP_EQUAL("the JSON text has too many values", reason.text.c_str());
+        CHECK_FALSE(platform::parseConfiguration(value, reason).has_value());
+        CHECK_FALSE(platform::adapter().parsePage(value, reason).has_value());
+    }
+}
+
 // Guards against a field of an upstream record that is read from a wrong key.
 TEST(Decode, FieldsOfAnUpstreamRecord)
 {
