gateway: Give other events a turn while datagrams arrive

A sender of datagrams that is faster than the host kept the event loop in the loop that reads them. At most 64 are handled in one turn; PeerLink.DatagramsLeaveTurnsToOtherEvents fails with a larger bound. The flood tests also check that the counter and the log line name the reason for which clients were refused, and read the log through a file of their own: the position of the shared one is that at which the process writes.

--- a/Source/papayabend/gateway/PeerLink.cpp
+++ b/Source/papayabend/gateway/PeerLink.cpp
@@ -17,6 +17,9 @@
 
     // Most heartbeats in one datagram to a host that has just started.
     constexpr size_t maxHeartbeatsSent = 96;
+    // Datagrams that are handled before other events have their turn: a sender that is faster than this host would
+    // otherwise keep it from all else.
+    constexpr size_t maxDatagramsPerTurn = 64;
     // A pull ends if nothing arrives for pullStallTime. The time for all of it depends on the links and the size, so
     // its bound only ends pulls that would hardly ever be complete.
     constexpr std::chrono::milliseconds pullStallTime { 1500 };
@@ -147,7 +150,7 @@
     m_socket.async_wait(udp::socket::wait_read, [this](const error_code& ec) {
         if (ec)
             return;
-        while (true) {
+        for (size_t turn = 0; turn < maxDatagramsPerTurn; ++turn) {
             udp::endpoint from;
             error_code problem;
             auto n = m_socket.receive_from(asio::buffer(m_buffer), from, 0, problem);
--- a/Tests/gateway/PeerLinkTest.cpp
+++ b/Tests/gateway/PeerLinkTest.cpp
@@ -3,6 +3,7 @@
 #include "gateway/LoopbackFixture.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 
 using namespace papayabend;
 using namespace papayabend::gateway;
@@ -101,6 +102,36 @@
     LONGS_EQUAL(1, faults->count());
 }
 
+// Guards against a sender of datagrams that keeps the event loop from all else.
+TEST(PeerLink, DatagramsLeaveTurnsToOtherEvents)
+{
+    constexpr size_t datagrams = 200;
+    size_t refused = 0;
+    PeerEvents events;
+    events.crashNotices = [](bool) { return std::vector<dispatch::CrashNotice> {}; };
+    events.limitNotices = [] { return std::vector<dispatch::LimitNotice> {}; };
+    events.messageRefused = [&](const std::string&, const std::string&) { ++refused; };
+    link = std::make_unique<PeerLink>(io, fleet, 1, events);
+    std::string address;
+    do
+        address = freeAddress();
+    while (!link->start(address, {}));
+    asio::ip::udp::socket other(io, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+    asio::ip::udp::endpoint endpoint(
+        asio::ip::address_v4::loopback(), static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+    for (size_t n = 0; n < datagrams; ++n)
+        other.send_to(asio::buffer(std::string("x")), endpoint);
+    size_t most = 0;
+    auto end = base::BootClock::now() + 5s;
+    while (refused < datagrams && base::BootClock::now() < end) {
+        auto before = refused;
+        io.run_one_for(5ms);
+        most = std::max(most, refused - before);
+    }
+    LONGS_EQUAL(datagrams, refused);
+    CHECK_TRUE(most < datagrams / 2);
+}
+
 // Guards against a host that pulls content under an address that is not valid text: the refusal names such addresses,
 // and must not throw.
 TEST(PeerLink, RefusalNamesAddressesThatAreNoText)
--- a/Tests/processes/ClientFloodTest.py
+++ b/Tests/processes/ClientFloodTest.py
@@ -108,7 +108,7 @@
         path = os.path.join(folder, "settings.json")
         with open(path, "w") as file:
             json.dump(settings, file)
-        self.log = open(os.path.join(folder, "log"), "w+")
+        self.log = open(os.path.join(folder, "log"), "w")
         self.process = subprocess.Popen(
             [program, "--settings", path], stdout=self.log, stderr=self.log,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
@@ -121,7 +121,7 @@
         end = time.monotonic() + 30
         while self.request("readiness", "/ready") != 200:
             if self.process.poll() is not None or time.monotonic() > end:
-                raise AssertionError("the gateway does not get ready: " + self.log_text())
+                raise AssertionError("the gateway does not get ready: " + self.log_text()[-2000:])
             time.sleep(0.05)
 
     def address(self, listener):
@@ -165,14 +165,15 @@
         if not now and time.monotonic() - self.sampled_at < 0.01:
             return
         if self.process.poll() is not None:
-            raise AssertionError("the gateway has ended with %s: %s" % (self.process.returncode, self.log_text()))
+            raise AssertionError("the gateway has ended with %s: %s" % (self.process.returncode, self.log_text()[-2000:]))
         self.resident = max(self.resident, self.resident_now())
         self.descriptors = max(self.descriptors, len(os.listdir("/proc/%d/fd" % self.process.pid)))
         self.sampled_at = time.monotonic()
 
     def log_text(self):
-        self.log.seek(0)
-        return self.log.read()[-2000:]
+        # A file of its own, since the process writes at the position of the other one.
+        with open(self.log.name) as file:
+            return file.read()
 
     def end(self):
         self.process.kill()
@@ -317,10 +318,31 @@
     "pipelined_large_unread": (pipelined_large, 40), "slow": (slow, 120), "silent": (silent, 300),
     "half_closed": (half_closed, 300),
 }
+# The reason that the log and the metrics have to name.
+REASONS = {
+    "bodies_whole": "memory", "bodies_over_limit": "body_bytes", "chunk_extension_without_end": "chunk_framing",
+    "trailer_without_end": "chunk_framing", "many_fields": "memory", "head_without_end": "header_bytes",
+    "silent": "connections", "default_many_fields": "memory", "default_silent": "connections",
+}
 DEFAULT_CASES = {"default_many_fields": (fields, 1500), "default_silent": (silent, 4300),
                  "default_chunk_extension": (chunk_extension, 20), "default_store_value": (None, 0)}
 
 
+def check_reason(gateway, reason, problems):
+    """Checks that the metrics and a log line name the reason for which clients were refused or closed."""
+    with gateway.connect("metrics") as connection:
+        connection.sendall(head("/metrics", "Connection: close", method="GET", length=0))
+        text = b"".join(iter(lambda: connection.recv(65536), b"")).decode()
+    name = 'papayabend_gateway_client_refusals_total{reason="%s"} ' % reason
+    if float(text.partition(name)[2].partition("\n")[0] or 0) < 1:
+        problems.append("no counter of reason " + reason)
+    end = time.monotonic() + ANSWER_SECONDS
+    while '"reason":"%s"' % reason not in gateway.log_text() and time.monotonic() < end:
+        time.sleep(0.05)
+    if '"reason":"%s"' % reason not in gateway.log_text():
+        problems.append("no log line of reason " + reason)
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--gateway", required=True)
@@ -338,6 +360,8 @@
                 play(gateway, make_client, n, problems, LARGE_GROUP_TARGETS if n > LARGE_GROUP else TARGETS)
             else:
                 play_store_value(gateway, problems)
+            if options.case in REASONS:
+                check_reason(gateway, REASONS[options.case], problems)
         except AssertionError as error:
             problems.append(str(error))
         finally:
