--- a/Source/papayabend/gateway/GatewaySettings.cpp
+++ b/Source/papayabend/gateway/GatewaySettings.cpp
@@ -61,6 +61,16 @@
     keys.number("successesPerSecond", log.successesPerSecond, 0, 100'000);
 }
 
+static void visit(auto& keys, ClientSettings& clients)
+{
+    keys.number("bufferedBytes", clients.bufferedBytes, 1'000'000, 1'000'000'000);
+    keys.number("connections", clients.connections, 0, 1'000'000);
+    keys.number("connectionsPerListener", clients.connectionsPerListener, 0, 1'000'000);
+    keys.number("reservedDescriptors", clients.reservedDescriptors, 0, 1'000'000);
+    keys.number("headerFields", clients.headerFields, 16, 65'536);
+    keys.number("chunkFramingBytes", clients.chunkFramingBytes, 1'000, 1'000'000'000);
+}
+
 static void visit(auto& keys, GatewaySettings& settings)
 {
     keys.section("host", settings.host);
@@ -74,6 +84,7 @@
     keys.section("admission", settings.admission);
     keys.section("table", settings.table);
     keys.section("log", settings.log);
+    keys.section("clients", settings.clients);
 }
 
 std::optional<GatewaySettings> parseGatewaySettings(
@@ -117,6 +128,12 @@
         duration(std::max(answers.timeToLiveSeconds, answers.calmTimeToLiveSeconds)), duration(stop.graceSeconds) };
 }
 
+ConnectionBounds boundsOf(const ClientSettings& clients, size_t descriptors)
+{
+    return connectionBounds(
+        descriptors, clients.reservedDescriptors, clients.connections, clients.connectionsPerListener);
+}
+
 dispatch::RetryBudgetSettings budgetOf(const BudgetSettings& budget)
 {
     auto window = std::chrono::duration<double>(budget.windowSeconds);
