dispatch: Bound what all hosts together send to a cold upstream

Cause: each host sent a new upstream its share of the service, which over all hosts is the whole load.

Change: the configuration states for each service how many requests a second a cold upstream tolerates; the store entry or an answer states for how long it is cold. dispatch/ColdUpstreams keeps what was answered and what was sent in the last window, fleet/ColdShare this host's part, which a host that is cut off does not enlarge. The gate withholds what exceeds the part, and every hedge; such requests are refused as at_limit before any attempt. Settings coldUpstreams, log line cold, metric upstreams_cold. Without a stated bound nothing changes.

--- a/Source/papayabend/dispatch/UpstreamGate.cpp
+++ b/Source/papayabend/dispatch/UpstreamGate.cpp
@@ -32,6 +32,13 @@
         return wait.count() > 0 ? GateReason::Limited : GateReason::None;
     }
 
+    GateReason reasonByWarmUp(const UpstreamGate& gate, const GateSubject& subject, const GateQuery& query)
+    {
+        if (!isColdAndBounded(gate, subject.entry, query))
+            return GateReason::None;
+        return query.isHedge || coldWaitFor(gate, subject, query).count() > 0 ? GateReason::Cold : GateReason::None;
+    }
+
     GateReason reasonByEvacuation(const GateSubject& subject, const GateQuery& query)
     {
         if (!query.evacuations || query.evacuations->isEmpty())
@@ -73,9 +80,30 @@
     auto byStatements = gate.isEmpty()
         ? GateReason::None
         : reasonByStatements(gate, keyOf(subject.entry.record), query.isHedge, query.now, subject.waiting);
-    if (isLasting(byStatements) || byListing == GateReason::None)
-        return byStatements == GateReason::None ? byEvacuation : byStatements;
-    return byListing;
+    if (isLasting(byStatements))
+        return byStatements;
+    for (auto reason : { byListing, byStatements, reasonByWarmUp(gate, subject, query) }) {
+        if (reason != GateReason::None)
+            return reason;
+    }
+    return byEvacuation;
+}
+
+bool isColdAndBounded(const UpstreamGate& gate, const discovery::UpstreamEntry& entry, const GateQuery& query)
+{
+    if (query.coldBound.perSecond <= 0 || (entry.record.warmUpLeft.count() == 0 && gate.cold.isEmpty()))
+        return false;
+    return gate.cold.coldUntil(entry, keyOf(entry.record)) > query.now;
+}
+
+base::Duration coldWaitFor(const UpstreamGate& gate, const GateSubject& subject, const GateQuery& query)
+{
+    if (!isColdAndBounded(gate, subject.entry, query))
+        return base::Duration(0);
+    auto key = keyOf(subject.entry.record);
+    auto allotment = coldAllotmentOf(coldAllotment(query.coldBound, gate.coldPart, key, gate.hostName), query.rank);
+    // Attempts that wait for a connection will be sent before this one.
+    return gate.cold.waitFor(key, allotment > subject.waiting ? allotment - subject.waiting : 0, query.now);
 }
 
 bool isLasting(GateReason reason)
@@ -91,6 +119,7 @@
     case GateReason::Misdirected:
     case GateReason::Paused:
     case GateReason::Limited:
+    case GateReason::Cold:
     case GateReason::Returning:
         break;
     }
@@ -118,6 +147,8 @@
         return "paused";
     case GateReason::Limited:
         return "limited";
+    case GateReason::Cold:
+        return "cold";
     case GateReason::Returning:
         return "returning";
     }
--- a/Source/papayabend/dispatch/UpstreamGate.h
+++ b/Source/papayabend/dispatch/UpstreamGate.h
@@ -2,11 +2,13 @@
 
 #include "papayabend/discovery/Evacuations.h"
 #include "papayabend/discovery/UpstreamDirectory.h"
+#include "papayabend/dispatch/ColdUpstreams.h"
 #include "papayabend/dispatch/UpstreamHolds.h"
 #include "papayabend/dispatch/UpstreamLimits.h"
 
 #include <optional>
 #include <span>
+#include <string>
 
 namespace papayabend::dispatch {
 
@@ -21,6 +23,9 @@
     UpstreamHolds holds;
     UpstreamLimits limits;
     double limitShare { 1 }; /**< This host's part of the limits, see fleet::demandShare(). */
+    ColdUpstreams cold;
+    double coldPart { 1 }; /**< This host's part of the bounds of cold upstreams, see fleet::ColdShare. */
+    std::string hostName; /**< Of this host. */
 
     bool isEmpty() const { return holds.isEmpty() && limits.isEmpty(); }
 };
@@ -38,6 +43,7 @@
     Misdirected, /**< Another upstream answers at its address. */
     Paused, /**< It has asked for a pause. */
     Limited, /**< The rate that it has named is used up, or the attempt is a hedge. */
+    Cold, /**< It has just started, and this host's part of the bound is used up, or the attempt is a hedge. */
     Returning, /**< The evacuation of its failure domain has just ended, and this request was not drawn to return. */
 };
 
@@ -60,6 +66,8 @@
     double returnDraw { 0 };
     const discovery::Evacuations* evacuations { nullptr }; /**< None if nullptr. */
     base::TimePoint resumedAt {}; /**< End of the last pause of the process; changes that it reads then may be old. */
+    ColdBound coldBound; /**< Of the service. */
+    uint32_t rank { 0 }; /**< Priority of the request, 0 being the most urgent. */
     base::TimePoint now;
 };
 
@@ -69,6 +77,12 @@
 /** Returns why the attempt may not be sent to the upstream now, if so. */
 GateReason reasonAgainst(const UpstreamGate&, const GateSubject&, const GateQuery&);
 
+/** Returns whether the upstream is cold and its service has a bound for such ones. */
+bool isColdAndBounded(const UpstreamGate&, const discovery::UpstreamEntry&, const GateQuery&);
+
+/** Returns the time until the bound of cold upstreams allows an attempt; 0 if it does now. */
+base::Duration coldWaitFor(const UpstreamGate&, const GateSubject&, const GateQuery&);
+
 /** Returns the part of reasonAgainst() that follows from the upstream's entry and address. */
 GateReason reasonByListing(const GateSubject&, bool hasListed, base::TimePoint now);
 
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -72,7 +72,7 @@
     /** Returns whether enough of the shards, or the one service, have a usable upstream. */
     bool isServable() const;
     /** Returns what the gate needs to know of an attempt; hasListed is left to the caller. */
-    dispatch::GateQuery gateQuery(bool isHedge, base::TimePoint now);
+    dispatch::GateQuery gateQuery(const Subrequest&, bool isHedge, base::TimePoint now);
     /** Returns the upstreams of the service, and whether the gate allows the attempt to each. */
     std::vector<dispatch::Candidate> candidatesFor(const Subrequest&, bool isHedge, base::TimePoint now);
     /** Decides for an attempt that has waited for a connection whether it may be sent, and takes retry budget and rate
@@ -89,7 +89,7 @@
     std::string evacuationNote() const;
     /** Returns the time until the limits and pauses of the upstreams admit enough of the shards, or the one service; 0
      * if they do now. */
-    base::Duration admissionWait(base::TimePoint now) const;
+    base::Duration admissionWait(base::TimePoint now);
     /** Applies the account's grant and rate limit; answers the request and returns false if they do not admit it. */
     bool admit(base::TimePoint now);
     /** Submits an attempt to a suitable upstream; returns false if there is none or the retry budget is used up.
--- a/Source/papayabend/gateway/ExchangeGate.cpp
+++ b/Source/papayabend/gateway/ExchangeGate.cpp
@@ -8,15 +8,23 @@
 
 namespace papayabend::gateway {
 
-dispatch::GateQuery Exchange::gateQuery(bool isHedge, base::TimePoint now)
+dispatch::GateQuery Exchange::gateQuery(const Subrequest& subrequest, bool isHedge, base::TimePoint now)
 {
     const auto& evacuations = m_state.content.evacuations();
     if (!evacuations.isEmpty() && !m_returnDraw)
         m_returnDraw = base::uniform(m_state.random);
+    dispatch::ColdBound cold;
+    auto perSecond = m_configuration->coldRequestsPerSecond.find(subrequest.service);
+    if (perSecond != m_configuration->coldRequestsPerSecond.end()) {
+        const auto& settings = m_state.settings.coldUpstreams;
+        cold = { perSecond->second, settings.overage, settings.slack };
+    }
     return { .isHedge = isHedge,
         .returnDraw = m_returnDraw.value_or(0),
         .evacuations = &evacuations,
         .resumedAt = m_state.resumedAt,
+        .coldBound = cold,
+        .rank = m_trafficClass.priority,
         .now = now };
 }
 
@@ -24,7 +32,7 @@
     const Subrequest& subrequest, bool isHedge, base::TimePoint now)
 {
     auto entries = m_state.content.upstreams().of(subrequest.service);
-    auto query = gateQuery(isHedge, now);
+    auto query = gateQuery(subrequest, isHedge, now);
     query.hasListed = dispatch::hasListed(entries);
     std::vector<dispatch::Candidate> candidates;
     std::vector<size_t> returning;
@@ -75,12 +83,14 @@
         .history = history,
         .deadline = m_deadlineAt,
         .now = now };
+    bool isCold = false;
     if (entry) {
-        auto query = gateQuery(isHedge, now);
+        auto query = gateQuery(subrequest, isHedge, now);
         if (!dispatch::isListed(*entry))
             query.hasListed = dispatch::hasListed(m_state.content.upstreams().of(subrequest.service));
         inputs.gate
             = dispatch::reasonAgainst(m_state.gate, { *entry, m_state.pool.load(upstream).misdirectedUntil }, query);
+        isCold = dispatch::isColdAndBounded(m_state.gate, *entry, query);
         // Whether the request returns to a failure domain was decided when the upstream was chosen.
         if (inputs.gate == dispatch::GateReason::Returning)
             inputs.gate = dispatch::GateReason::None;
@@ -98,6 +108,8 @@
         m_state.budget.tryTake(subrequest.service, budgetOf(m_state.settings.retryBudget), budgetPart(now), now);
         m_state.metrics.extraAttempt(cause);
     }
+    if (isCold)
+        m_state.gate.cold.take(dispatch::keyOf(entry->record), now);
     if (!m_state.gate.limits.isEmpty())
         m_state.gate.limits.take(dispatch::keyOf(entry->record), m_state.gate.limitShare, now);
     return {};
@@ -130,9 +142,9 @@
     return note;
 }
 
-base::Duration Exchange::admissionWait(base::TimePoint now) const
+base::Duration Exchange::admissionWait(base::TimePoint now)
 {
-    if (m_state.gate.isEmpty())
+    if (m_state.gate.isEmpty() && m_configuration->coldRequestsPerSecond.empty())
         return base::Duration(0);
     const auto& evacuations = m_state.content.evacuations();
     std::vector<base::Duration> waits;
@@ -140,13 +152,17 @@
         std::optional<base::Duration> shortest;
         auto entries = m_state.content.upstreams().of(subrequest.service);
         auto hasListed = dispatch::hasListed(entries);
+        auto query = gateQuery(subrequest, false, now);
         for (const auto* entry : entries) {
             const auto& load = m_state.pool.load(entry->record.id);
             auto reason = dispatch::reasonByListing({ *entry, load.misdirectedUntil }, hasListed, now);
             if (reason != dispatch::GateReason::None || evacuations.isEvacuated(entry->record.failureDomain))
                 continue;
-            if (auto wait = dispatch::waitFor(m_state.gate, dispatch::keyOf(entry->record), now, load.waiting))
-                shortest = std::min(shortest.value_or(*wait), *wait);
+            auto wait = dispatch::waitFor(m_state.gate, dispatch::keyOf(entry->record), now, load.waiting);
+            if (!wait)
+                continue;
+            auto coldWait = dispatch::coldWaitFor(m_state.gate, { *entry, {}, load.waiting }, query);
+            shortest = std::min(shortest.value_or(base::Duration::max()), std::max(*wait, coldWait));
         }
         if (shortest)
             waits.push_back(*shortest);
@@ -185,6 +201,8 @@
             fields()
                 .add("state", report.requestLimit ? "limited" : "unlimited")
                 .add("milliRequestsPerSecond", static_cast<int64_t>(report.requestLimit.value_or(0) * 1000)));
+    if (report.warmUpLeft && m_state.gate.cold.observe(key, *report.warmUpLeft, now))
+        log("cold", fields().add("ms", base::toMilliseconds(*report.warmUpLeft)));
     if (report.isLeaving && m_state.gate.holds.addLeaving(key, now)) {
         log("upstream", fields().add("source", "answer").add("state", "leaving"));
         m_state.pool.rejectWaiting(attempt.upstream, dispatch::toString(dispatch::GateReason::Leaving));
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -172,15 +172,16 @@
         auto state = entry->presence != discovery::Presence::Listed ? "missing"
             : entry->record.isDraining                              ? "draining"
                                                                     : "ready";
-        logEvent("upstream",
-            LogFields()
-                .add("source", source)
-                .add("upstream", id)
-                .add("service", entry->record.service)
-                .add("address", entry->record.address)
-                .add("state", state)
-                .add("revision", static_cast<int64_t>(entry->revision)),
-            LineClass::Change);
+        LogFields fields;
+        fields.add("source", source)
+            .add("upstream", id)
+            .add("service", entry->record.service)
+            .add("address", entry->record.address)
+            .add("state", state)
+            .add("revision", static_cast<int64_t>(entry->revision));
+        if (entry->record.warmUpLeft.count() > 0)
+            fields.add("warmUpMs", base::toMilliseconds(entry->record.warmUpLeft));
+        logEvent("upstream", fields, LineClass::Change);
     }
     if (change.isNewConfiguration || !change.upstreams.empty() || m_state.content.hasChangedEvacuations())
         updateAfterContentChange();
@@ -229,6 +230,7 @@
     auto hosts = fleet::servingCount(m_state.fleet, servingSettings(), now);
     auto isServing = fleet::isServing(m_state.fleet, servingSettings(), now);
     fleet::observe(m_state.budgetShare, isServing, hosts, now);
+    fleet::observe(m_state.coldShare, m_state.fleet, isServing, hosts, now);
     for (const auto& [id, entry] : m_state.content.upstreams().entries()) {
         const auto& record = entry.record;
         auto limit = configuration->maxConnections.find(record.service);
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -79,6 +79,9 @@
     , m_contentTransfers(std::make_shared<fleet::ContentTransfers>())
     , m_startedAt(base::BootClock::now())
 {
+    m_state.gate.hostName = settings.host.name;
+    m_state.gate.coldPart = 0;
+    m_state.coldShare.needsOthers = !settings.peers.seeds.empty();
     m_faults->setReport([this](std::string_view source, std::string_view reason) {
         logEvent("fault", LogFields().add("source", source).add("reason", reason), LineClass::Failure);
     });
@@ -225,6 +228,8 @@
     updateStoreReader(now);
     pullIfBehind(now);
     dropUnusedEncoding(now);
+    m_state.gate.coldPart = fleet::partOf(m_state.coldShare, now);
+    m_state.gate.cold.expire(now);
     m_state.gate.holds.expire(now);
     endWaitingForClosed(m_state, now);
     if (m_state.suspects.takeNewRefusal())
@@ -384,6 +389,9 @@
     gauge("upstreams_leaving", m_state.gate.holds.countLeaving());
     gauge("upstreams_paused", m_state.gate.holds.countPaused(now));
     gauge("failure_domains_evacuated", m_state.content.evacuations().failureDomains().size());
+    gauge("upstreams_cold", std::ranges::count_if(m_state.content.upstreams().entries(), [&](const auto& it) {
+        return m_state.gate.cold.coldUntil(it.second, dispatch::keyOf(it.second.record)) > now;
+    }));
     gauge("upstreams_limited", m_state.gate.limits.count(now));
     gauge("upstream_connections", m_state.pool.openConnections());
     size_t connections = 0;
--- a/Source/papayabend/gateway/GatewaySettings.cpp
+++ b/Source/papayabend/gateway/GatewaySettings.cpp
@@ -37,6 +37,12 @@
 
 static void visit(auto& keys, StopSettings& stop) { keys.fraction("graceSeconds", stop.graceSeconds, 1, 600); }
 
+static void visit(auto& keys, ColdUpstreamSettings& cold)
+{
+    keys.fraction("overage", cold.overage, 0, 1000);
+    keys.fraction("slack", cold.slack, 0, 1'000'000);
+}
+
 static void visit(auto& keys, EntryAnswerSettings& answers)
 {
     keys.fraction("timeToLiveSeconds", answers.timeToLiveSeconds, 0.1, 600);
@@ -61,6 +67,7 @@
     keys.section("store", settings.store);
     keys.section("retryBudget", settings.retryBudget);
     keys.section("stop", settings.stop);
+    keys.section("coldUpstreams", settings.coldUpstreams);
     keys.section("entryAnswers", settings.entryAnswers);
     keys.section("table", settings.table);
     keys.section("log", settings.log);
--- a/Source/papayabend/gateway/GatewaySettings.h
+++ b/Source/papayabend/gateway/GatewaySettings.h
@@ -66,6 +66,15 @@
     double graceSeconds { 6 }; /**< Longest time from the signal to the end of the process. */
 };
 
+/** \struct ColdUpstreamSettings
+ * \brief Bound of the attempts to a cold upstream in any second, over all hosts: what its service states times overage,
+ * and slack.
+ */
+struct ColdUpstreamSettings {
+    double overage { 1.5 };
+    double slack { 5 };
+};
+
 /** \struct EntryAnswerSettings
  * \brief Answers to requests for the addresses to use.
  */
@@ -102,6 +111,7 @@
     StoreSettings store;
     BudgetSettings retryBudget;
     StopSettings stop;
+    ColdUpstreamSettings coldUpstreams;
     EntryAnswerSettings entryAnswers;
     TableSettings table;
     EventLogSettings log;
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -9,6 +9,7 @@
 #include "papayabend/dispatch/ReturnTime.h"
 #include "papayabend/dispatch/UpstreamGate.h"
 #include "papayabend/fleet/BudgetShare.h"
+#include "papayabend/fleet/ColdShare.h"
 #include "papayabend/fleet/FleetView.h"
 #include "papayabend/gateway/Content.h"
 #include "papayabend/gateway/EventLog.h"
@@ -41,6 +42,7 @@
     UpstreamPool pool;
     dispatch::RetryBudget budget;
     fleet::BudgetShare budgetShare;
+    fleet::ColdShare coldShare;
     dispatch::CrashSuspects suspects;
     dispatch::UpstreamGate gate;
     /** First attempts that the requests of callers asked for since the start of the process. */
--- a/Source/papayabend/gateway/PlatformAdapter.h
+++ b/Source/papayabend/gateway/PlatformAdapter.h
@@ -61,6 +61,7 @@
     bool isLimitReadable { true }; /**< False if it names a limit that cannot be read. */
     bool isLeaving { false }; /**< It will end and wants no further request. */
     std::optional<base::Duration> pause; /**< Time for which it wants nothing from this host. */
+    std::optional<base::Duration> warmUpLeft; /**< Time for which it is cold. */
     std::vector<std::string> problems; /**< Fields that cannot be used, each with the reason. */
 };
 
--- a/Source/papayabend/routes/Configuration.h
+++ b/Source/papayabend/routes/Configuration.h
@@ -60,6 +60,8 @@
     uint64_t version { 0 };
     std::vector<Route> routes;
     std::unordered_map<std::string, uint32_t> maxConnections; /**< By service, over all hosts; 0 for no bound. */
+    /** Requests per second that a cold upstream tolerates, by service; absent for no bound. */
+    std::unordered_map<std::string, double> coldRequestsPerSecond;
     ClientLimits limits;
     /** Position in routes by virtual host and prefix; built by indexed(). */
     std::unordered_map<std::string, size_t> index;
--- a/Tests/dispatch/SendSimulation.cpp
+++ b/Tests/dispatch/SendSimulation.cpp
@@ -196,7 +196,12 @@
 GateQuery SendSimulation::queryOf(const Host& host, const Request& request, bool isHedge) const
 {
     auto hasListed = std::ranges::any_of(host.known, [](const auto& it) { return isListed(it); });
-    return { hasListed, isHedge, request.returnDraw, &host.evacuations, host.resumedAt, now };
+    return { .hasListed = hasListed,
+        .isHedge = isHedge,
+        .returnDraw = request.returnDraw,
+        .evacuations = &host.evacuations,
+        .resumedAt = host.resumedAt,
+        .now = now };
 }
 
 void SendSimulation::begin()
--- a/Tests/gateway/ExchangeGateTest.cpp
+++ b/Tests/gateway/ExchangeGateTest.cpp
@@ -360,3 +360,46 @@
     CHECK_EQUAL(200U, statusOf("/look/last"));
     LONGS_EQUAL(1, arrivals(returning, "/look/last"));
 }
+
+// Guards against a cold upstream that gets more than its service states, and against a refusal that is held back or
+// does not say when to return.
+TEST(ExchangeGate, ColdUpstreamGetsWhatItsServiceStates)
+{
+    nextConfiguration.coldRequestsPerSecond["desk"] = 8;
+    publish();
+    auto& upstream = addUpstream(Behaviour::Answer, "d1");
+    auto key = dispatch::UpstreamLimits::keyOf("u1", std::nullopt);
+    state->gate.cold.observe(key, 10s, base::BootClock::now());
+    auto allowed = dispatch::coldAllotment({ .perSecond = 8 }, 1, key, "");
+    CHECK_TRUE(allowed >= 4 && allowed <= 8);
+    for (uint32_t n = 0; n < 10; ++n) {
+        begin("/look/" + std::to_string(n));
+        CHECK_EQUAL(n < allowed ? 200U : 503U, statusOf("/look/" + std::to_string(n)));
+    }
+    CHECK_TRUE(answers["/look/9"].fields.find("Retry-After: ") != std::string::npos);
+    LONGS_EQUAL(allowed, upstream.requests.size());
+    io.run_for(1100ms);
+    begin("/look/later");
+    CHECK_EQUAL(200U, statusOf("/look/later"));
+    state->gate.cold.observe(key, 0s, base::BootClock::now());
+    for (int n = 0; n < 5; ++n) {
+        begin("/look/warm" + std::to_string(n));
+        CHECK_EQUAL(200U, statusOf("/look/warm" + std::to_string(n)));
+    }
+}
+
+// Guards against hedges to a cold upstream, which would take the place of first attempts.
+TEST(ExchangeGate, ColdUpstreamGetsNoHedges)
+{
+    nextConfiguration.coldRequestsPerSecond["desk"] = 100;
+    publish();
+    auto& first = addUpstream(Behaviour::Silent, "d1");
+    begin("/look/1");
+    CHECK_TRUE(runUntil([&] { return !first.heldSockets.empty(); }));
+    auto& cold = addUpstream(Behaviour::Answer, "d1");
+    state->gate.cold.observe(dispatch::UpstreamLimits::keyOf("u2", std::nullopt), 10s, base::BootClock::now());
+    io.run_for(300ms);
+    LONGS_EQUAL(0, cold.requests.size());
+    release(first);
+    CHECK_EQUAL(200U, statusOf("/look/1"));
+}
--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -219,3 +219,23 @@
         CHECK_FALSE(platform::parseEvacuation(text, reason));
     STRCMP_EQUAL("the value is not a JSON object", reason.text.c_str());
 }
+
+// Guards against a bound of cold upstreams that is read from a wrong key, or where none is stated.
+TEST(Decode, BoundOfColdUpstreams)
+{
+    auto value = platform::parseConfiguration(R"({"version":7,"routes":[],"services":[
+        {"name":"s1","warmup-per-s":4.5,"warmup-s":30},{"name":"s2"},{"name":"s3","warmup-per-s":0}]})",
+        reason);
+    CHECK_TRUE(value.has_value());
+    LONGS_EQUAL(1, value->coldRequestsPerSecond.size());
+    DOUBLES_EQUAL(4.5, value->coldRequestsPerSecond["s1"], 0);
+    gateway::HttpResponse answer;
+    CHECK_FALSE(platform::parseUpstreamReport(answer).warmUpLeft.has_value());
+    answer.set("X-Papayabend-Warmup-Ms", "2500");
+    CHECK_TRUE(platform::parseUpstreamReport(answer).warmUpLeft == 2500ms);
+    answer.set("X-Papayabend-Warmup-Ms", "1e300");
+    CHECK_TRUE(platform::parseUpstreamReport(answer).warmUpLeft <= 1h);
+    answer.set("X-Papayabend-Warmup-Ms", "-1");
+    CHECK_FALSE(platform::parseUpstreamReport(answer).warmUpLeft.has_value());
+    LONGS_EQUAL(1, platform::parseUpstreamReport(answer).problems.size());
+}
