gateway: Do not expect other hosts if a host is its only seed

Cause: a host without any other heard one has no part of the bound of cold upstreams if it has seeds; a single host that is listed among its own seeds would never send to a cold upstream. Change: seeds at the host's own address do not count. Result: gatewayTests -g GatewayHost passes (3 cases).

--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -81,7 +81,10 @@
 {
     m_state.gate.hostName = settings.host.name;
     m_state.gate.coldPart = 0;
-    m_state.coldShare.needsOthers = !settings.peers.seeds.empty();
+    // A host may be listed among its own seeds.
+    auto ipOf = [](const std::string& address) { return address.substr(0, address.rfind(':')); };
+    m_state.coldShare.needsOthers = std::ranges::any_of(
+        settings.peers.seeds, [&](const auto& it) { return ipOf(it) != ipOf(settings.listen.peers); });
     m_faults->setReport([this](std::string_view source, std::string_view reason) {
         logEvent("fault", LogFields().add("source", source).add("reason", reason), LineClass::Failure);
     });
