--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -82,6 +82,12 @@
 {
     m_calm.changedAt = m_startedAt;
     m_calm.seenChangeAt = m_startedAt;
+    m_state.gate.hostName = settings.host.name;
+    m_state.gate.coldPart = 0;
+    // A host may be listed among its own seeds.
+    auto ipOf = [](const std::string& address) { return address.substr(0, address.rfind(':')); };
+    m_state.coldShare.needsOthers = std::ranges::any_of(
+        settings.peers.seeds, [&](const auto& it) { return ipOf(it) != ipOf(settings.listen.peers); });
     m_faults->setReport([this](std::string_view source, std::string_view reason) {
         logEvent("fault", LogFields().add("source", source).add("reason", reason), LineClass::Failure);
     });
@@ -312,6 +318,8 @@
     updateStoreReader(now);
     pullIfBehind(now);
     dropUnusedEncoding(now);
+    m_state.gate.coldPart = fleet::partOf(m_state.coldShare, now);
+    m_state.gate.cold.expire(now);
     m_state.gate.holds.expire(now);
     endWaitingForClosed(m_state, now);
     if (m_state.suspects.takeNewRefusal())
@@ -471,6 +479,9 @@
     gauge("upstreams_leaving", m_state.gate.holds.countLeaving());
     gauge("upstreams_paused", m_state.gate.holds.countPaused(now));
     gauge("failure_domains_evacuated", m_state.content.evacuations().failureDomains().size());
+    gauge("upstreams_cold", std::ranges::count_if(m_state.content.upstreams().entries(), [&](const auto& it) {
+        return m_state.gate.cold.coldUntil(it.second, dispatch::keyOf(it.second.record)) > now;
+    }));
     gauge("upstreams_limited", m_state.gate.limits.count(now));
     gauge("upstreams_slow",
         m_state.pool.countLoads([now](const auto& it) { return dispatch::isSlow(it.estimate, now); }));
--- a/Source/papayabend/gateway/PlatformAdapter.h
+++ b/Source/papayabend/gateway/PlatformAdapter.h
@@ -63,6 +63,7 @@
     bool isLeaving { false }; /**< It will end and wants no further request. */
     std::optional<base::Duration> pause; /**< Time for which it wants nothing from this host. */
     std::optional<dispatch::StatedLoad> statedLoad;
+    std::optional<base::Duration> warmUpLeft; /**< Time for which it is cold. */
     std::vector<std::string> problems; /**< Fields that cannot be used, each with the reason. */
 };
 
