soak: Play evacuations of failure domains and cold upstreams

The soak did not know evacuations and cold upstreams. Upstreams keep their failure domain when they drain.

--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -28,6 +28,10 @@
 DRAIN = 3.0
 LIMIT = 3.0
 LIMIT_WINDOW = 4.0
+EVACUATE = 5.0
+# Requests a second that a cold upstream tolerates, and the bound that follows for any one second.
+COLD_PER_SECOND, COLD_OVERAGE, COLD_SLACK = 10, 1.5, 5
+COLD_TIME = 9.0
 # A request that ends upstreams: losses after which it is refused, time in which all hosts learn of it, repeats after that.
 LOSSES = 3
 LEARN = 4.0
@@ -55,6 +59,7 @@
         self.services = ["shard%d" % n for n in range(SHARDS)] + ["desk"]
         self.version = 0
         self.extra_routes = []
+        self.evacuated = {}
         self.gateways = []
         self.broken = []
         self.runs = collections.Counter()
@@ -98,6 +103,20 @@
             self.fail("%s got %d requests in %.0f s with a limit of %g a second" % (
                 upstream.uid, len(upstream.arrived_at), LIMIT_WINDOW, upstream.limit))
 
+    def accepted(self, upstream, rid):
+        """Checks a request that has reached the upstream it was meant for."""
+        evacuated = self.evacuated.get(upstream.domain)
+        if evacuated and self.now() - evacuated > EVACUATE + self.options.slack and self.calm_since < evacuated:
+            self.fail("request %s reached %s %.1f s after the evacuation of %s" % (
+                rid, upstream.uid, self.now() - evacuated, upstream.domain))
+        cold = self.now() - upstream.cold_since
+        upstream.cold_arrivals.append(self.now())
+        while self.now() - upstream.cold_arrivals[0] > 1:
+            upstream.cold_arrivals.popleft()
+        if (DRAIN + self.options.slack + 1 < cold < COLD_TIME and self.calm_since < upstream.cold_since
+                and len(upstream.cold_arrivals) > COLD_PER_SECOND * COLD_OVERAGE + COLD_SLACK):
+            self.fail("%s is cold and got %d requests in a second" % (upstream.uid, len(upstream.cold_arrivals)))
+
     def ran(self, upstream, rid, method, target):
         self.runs[rid] += 1
         self.run_ids[rid].add(upstream.uid)
@@ -125,7 +144,7 @@
                    for _, prefix, _ in self.extra_routes]
         self.store.put("op/config", {
             "version": self.version, "routes": routes,
-            "services": [{"name": name, "max-connections": 26} for name in self.services],
+            "services": [{"name": name, "max-connections": 26, "warmup-per-s": COLD_PER_SECOND} for name in self.services],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000}})
         self.note("configuration %d" % self.version)
@@ -140,6 +159,7 @@
         upstream.proxy = Proxy(lambda: asyncio.open_connection("127.0.0.1", port))
         upstream.address = await upstream.proxy.listen("127.0.0.1")
         upstream.sequence = 0
+        upstream.domain = "z%d" % (self.next_id % 2)
         upstream.born = int(time.time() * 1000)
         self.upstreams[uid] = upstream
         self.announce(upstream, "ready")
@@ -148,8 +168,9 @@
     def announce(self, upstream, state):
         upstream.sequence += 1
         self.store.put("servers/" + upstream.uid, {
-            "service": upstream.service, "address": upstream.address, "zone": "z%d" % (upstream.sequence % 2),
-            "version": "v1", "max-concurrency": 2, "state": state, "warmup-left-ms": 0,
+            "service": upstream.service, "address": upstream.address, "zone": upstream.domain,
+            "version": "v1", "max-concurrency": 2, "state": state,
+            "warmup-left-ms": int(1000 * max(0, upstream.cold_since + COLD_TIME - self.now())),
             "sequence": upstream.sequence, "born": upstream.born})
 
     async def replace(self, upstream):
@@ -203,7 +224,9 @@
             "retryBudget": {"ratio": RATIO, "extra": EXTRA, "windowSeconds": WINDOW},
             "stop": {"graceSeconds": GRACE},
             # With odd seeds entry answers are valid until the end of the grace time, so that a stop lasts that long.
-            "entryAnswers": {"timeToLiveSeconds": 2 if self.options.seed % 2 else 1}, "log": {"failuresPerSecond": 2000, "successesPerSecond": 50}}
+            "entryAnswers": {"timeToLiveSeconds": 2 if self.options.seed % 2 else 1}, "log": {"failuresPerSecond": 2000, "successesPerSecond": 50},
+            "coldUpstreams": {"overage": COLD_OVERAGE, "slack": COLD_SLACK},
+            "routing": {"learnsCapacity": self.options.domains}}
         path = os.path.join(self.folder, "host%d.json" % index)
         with open(path, "w") as file:
             json.dump(settings, file)
@@ -480,7 +503,28 @@
             upstream = self.random.choice(list(self.upstreams.values()))
             upstream.pauses_until = self.now() + self.random.uniform(0.1, 3)
             self.note("%s asks for a pause" % upstream.uid)
-        return [change, roll, hup, replace, limit, ask_for_pause]
+
+        async def evacuate():
+            if self.evacuated:
+                return
+            domain = "z%d" % self.random.randint(0, 1)
+            self.evacuated[domain] = self.now()
+            self.store.put("op/evacuate/" + domain, {})
+            self.note("%s is evacuated" % domain)
+            await asyncio.sleep(EVACUATE + self.options.slack + self.random.uniform(1, 4))
+            self.store.put("op/evacuate/" + domain, None)
+            self.evacuated.clear()
+            self.note("the evacuation of %s ends" % domain)
+
+        async def turn_cold():
+            upstream = self.random.choice(list(self.upstreams.values()))
+            if upstream.draining_since or upstream.is_down:
+                return
+            upstream.cold_since = self.now()
+            self.announce(upstream, "ready")
+            self.note("%s is cold" % upstream.uid)
+        domains = [evacuate, turn_cold] if self.options.domains else []
+        return [change, roll, hup, replace, limit, ask_for_pause] + domains
 
     def unplanned(self):
         async def during(action, undo, seconds, text):
@@ -666,6 +710,7 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--planned", action="store_true", help="planned work only; no answer may be cut")
     parser.add_argument("--wrong-bytes", action="store_true", help="upstreams, clients and peers also send wrong bytes; no request ends upstreams")
+    parser.add_argument("--domains", action="store_true", help="also evacuations of failure domains and cold upstreams")
     parser.add_argument("--slack", type=float, default=1.0,
                         help="seconds added to bounds for the scheduling of some dozen processes on one machine")
     parser.add_argument("--logs", default="/tmp", help="folder for the logs of a run that broke a promise")
--- a/Tests/soak/standins.py
+++ b/Tests/soak/standins.py
@@ -125,6 +125,8 @@
         self.arrived_at = collections.deque()
         self.limited_since = 0.0
         self.pauses_until = 0.0
+        self.cold_since = -1000.0
+        self.cold_arrivals = collections.deque()
         self.is_down = False
         self.writers = set()
 
@@ -144,6 +146,7 @@
         self.world.arrived(self, rid)
         if headers.get("x-papayabend-expect-instance") not in (None, self.uid):
             return message("HTTP/1.1 421 X", {**echo, "X-Papayabend-Instance-Id": self.uid})
+        self.world.accepted(self, rid)
         pause = self.pauses_until - asyncio.get_running_loop().time()
         if self.reject and self.world.random.random() < self.reject:
             return message("HTTP/1.1 503 X", {**echo, "X-Papayabend-Not-Executed": "1"})
