gateway: Keep hedges hedges, and notice a pause at the send

Found by reading. A hedge that ended unsent was replaced by an attempt that no longer counted as one, so that it could go to a cold or limited upstream. An attempt could be sent by old content if a connection became free before anything noticed that the process had been paused. A waiting hedge that was cancelled because another upstream had answered counted as a refusal by its upstream. The number of untried upstreams counted evacuated ones wrongly. A pipelined request that was not parsed yet was closed without a refusal when connections ran out.

Tests: ExchangeGate.HedgeThatWaitedTooLongGoesToNoColdUpstream, .PauseIsNoticedAtTheSend, Decode, ConfigurationCheck.

--- a/Source/papayabend/gateway/Attempt.h
+++ b/Source/papayabend/gateway/Attempt.h
@@ -18,6 +18,7 @@
     std::string upstream; /**< Id of the upstream. */
     std::string requestId;
     bool isHead { false };
+    bool isHedge { false }; /**< Another attempt was in flight when it was started. */
     /** The request cannot be retried, so it is not sent on a connection that the peer may be about to close. */
     bool needsFreshConnection { false };
     /** Numbers of the connections on which earlier attempts of the request were sent; it is not sent on these. */
--- a/Source/papayabend/gateway/ClientConnection.cpp
+++ b/Source/papayabend/gateway/ClientConnection.cpp
@@ -185,7 +185,8 @@
     // This function is called from a member of the connection, which must not be destroyed yet.
     asio::post(owner->io, [self = shared_from_this()] {});
     record(RefusalReason::Connections);
-    if (phase == Phase::Reading) {
+    // A request that was sent ahead may have been received completely and not parsed yet.
+    if (phase == Phase::Reading || (phase == Phase::Idle && reader.inputBytes() > 0)) {
         error_code ec;
         socket.write_some(asio::buffer(answerText(roomAnswer(), false, true)), ec);
     }
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -64,8 +64,7 @@
     if (!admit(now))
         return;
     for (auto& subrequest : m_subrequests)
-        subrequest.usable
-            = dispatch::countUsable(m_state.content.upstreams().of(subrequest.service), &m_state.content.evacuations());
+        countUpstreams(subrequest);
     if (!isServable())
         return refuse(503, "no_upstream", "too few of the services or shards have a usable upstream" + evacuationNote(),
             minRetryAfter + retryAfterSpread);
@@ -157,11 +156,12 @@
 bool Exchange::tryAttempt(Subrequest& subrequest, const char* cause, bool isHedge)
 {
     auto now = base::BootClock::now();
+    if (m_state.checkPause)
+        m_state.checkPause(now);
     if (m_state.isStale || m_state.suspects.isRefused(m_fingerprint, now))
         return false;
     auto candidates = candidatesFor(subrequest, isHedge, now);
-    subrequest.usable
-        = dispatch::countUsable(m_state.content.upstreams().of(subrequest.service), &m_state.content.evacuations());
+    countUpstreams(subrequest);
     auto medianLatency = base::Duration(static_cast<int64_t>(m_latency->median));
     auto choice
         = dispatch::chooseUpstream(candidates, { medianLatency, m_hedgeDelay, now, learnedChoice(subrequest, now) });
@@ -177,6 +177,7 @@
     auto attempt = createAttempt(subrequest, record, cause, isHedge);
     recordChoice(subrequest, candidates, *choice, *attempt);
     subrequest.tried.push_back(record.id);
+    subrequest.untried -= std::min<size_t>(subrequest.untried, 1);
     subrequest.attempts.push_back(attempt);
     dispatch::attemptQueued(subrequest.history);
     m_state.pool.submit(record, attempt);
@@ -188,6 +189,7 @@
 {
     auto attempt = std::make_shared<Attempt>();
     attempt->upstream = record.id;
+    attempt->isHedge = isHedge;
     attempt->requestId = m_id;
     attempt->isHead = m_method == "HEAD";
     attempt->needsFreshConnection = !policy().isIdempotent;
@@ -235,7 +237,8 @@
     auto now = base::BootClock::now();
     auto& load = m_state.pool.load(attempt.upstream);
     auto& latency = *m_latency;
-    if (result.end != CallEnd::Answered)
+    // A waiting attempt of a subrequest that is settled was cancelled by this host.
+    if (result.end == CallEnd::Lost || (result.end == CallEnd::NotSent && subrequest.phase == SubrequestPhase::Open))
         recordEstimate(attempt, result, std::nullopt);
     if (result.end == CallEnd::NotSent) {
         if (result.isWithheld)
@@ -291,17 +294,18 @@
                                                : result.reason);
     if (m_isFinished || subrequest.phase != SubrequestPhase::Open)
         return;
-    if (result.isWithheld) {
-        // The gate decides whether it may be chosen again.
-        std::erase(subrequest.tried, attempt.upstream);
-        // A request under which an upstream has just ended goes to one upstream at a time.
-        if (subrequest.history.inFlight > 0 && m_state.suspects.losses(m_fingerprint, base::BootClock::now()) > 0)
-            return;
-    }
+    // The gate decides whether it may be chosen again.
+    if (result.isWithheld && std::erase(subrequest.tried, attempt.upstream) > 0)
+        ++subrequest.untried;
+    auto isHedge = attempt.isHedge && subrequest.history.inFlight > 0;
+    // A request under which an upstream has just ended goes to one upstream at a time.
+    if ((result.isWithheld || isHedge) && subrequest.history.inFlight > 0
+        && m_state.suspects.losses(m_fingerprint, base::BootClock::now()) > 0)
+        return;
     if (result.end == CallEnd::Answered && !hasNotRun)
         handleAnswer(subrequest, std::move(result));
     else
-        retryOrFail(subrequest, hasNotRun);
+        retryOrFail(subrequest, hasNotRun, isHedge);
     if (m_isStartingAttempts)
         return;
     decide();
@@ -337,13 +341,13 @@
     retryOrFail(subrequest, false);
 }
 
-void Exchange::retryOrFail(Subrequest& subrequest, bool hasNotRun)
+void Exchange::retryOrFail(Subrequest& subrequest, bool hasNotRun, bool isHedge)
 {
     auto now = base::BootClock::now();
     if (dispatch::mayRetry(policy(), subrequest.history) && now < m_deadlineAt) {
         if (holdRetry(subrequest, now))
             return;
-        if (tryAttempt(subrequest, hasNotRun ? "not_run" : "lost"))
+        if (tryAttempt(subrequest, hasNotRun ? "not_run" : "lost", isHedge))
             return;
         if (subrequest.history.inFlight == 0 && hasNotRun && !isEvacuated(subrequest)
             && now + fullUpstreamPause < m_deadlineAt
@@ -352,6 +356,7 @@
             subrequest.retryAt
                 = now + fullUpstreamPause + std::chrono::milliseconds(base::uniformIndex(m_state.random, 20));
             subrequest.tried.clear();
+            subrequest.untried = subrequest.usable;
             return;
         }
     }
--- a/Source/papayabend/gateway/Exchange.h
+++ b/Source/papayabend/gateway/Exchange.h
@@ -55,6 +55,7 @@
         std::vector<std::pair<std::string, dispatch::Expectation>> estimates;
         std::vector<uint64_t> usedConnections; /**< Numbers of the connections on which attempts were sent. */
         size_t usable { 0 }; /**< Usable upstreams of the service when one was last chosen. */
+        size_t untried { 0 }; /**< Those of them that were not tried. */
         HttpResponse answer;
         std::shared_ptr<BufferHold> hold; /**< Of the answer. */
         std::string signature;
@@ -131,11 +132,14 @@
      * accepted, in a fan-out unless its signature was seen before. For a single service, a status of 300 to 499 is also
      * accepted unless it means that the request has not run. */
     void handleAnswer(Subrequest&, CallResult);
-    /** Starts another attempt if policy, time and budget allow it; else fails the subrequest once none is in flight. */
-    void retryOrFail(Subrequest&, bool hasNotRun);
+    /** Starts another attempt, as a hedge if \a isHedge, if policy, time and budget allow it; else fails the subrequest
+     * once none is in flight. */
+    void retryOrFail(Subrequest&, bool hasNotRun, bool isHedge = false);
     void failSubrequest(Subrequest&, const std::string& reason);
     /** Returns whether the service has usable upstreams that the subrequest has not tried. */
-    static bool hasUntried(const Subrequest& subrequest) { return subrequest.usable > subrequest.tried.size(); }
+    static bool hasUntried(const Subrequest& subrequest) { return subrequest.untried > 0; }
+    /** Counts the usable upstreams of the service, and those that the subrequest has not tried. */
+    void countUpstreams(Subrequest&) const;
     /** Answers or refuses the request if its result is settled or its time is up. */
     void decide();
     void decideSingle();
--- a/Source/papayabend/gateway/ExchangeGate.cpp
+++ b/Source/papayabend/gateway/ExchangeGate.cpp
@@ -58,6 +58,16 @@
     return candidates;
 }
 
+void Exchange::countUpstreams(Subrequest& subrequest) const
+{
+    auto entries = m_state.content.upstreams().of(subrequest.service);
+    const auto* evacuations = &m_state.content.evacuations();
+    subrequest.usable = dispatch::countUsable(entries, evacuations);
+    std::erase_if(entries,
+        [&](const auto* it) { return std::ranges::find(subrequest.tried, it->record.id) != subrequest.tried.end(); });
+    subrequest.untried = dispatch::countUsable(entries, evacuations);
+}
+
 double Exchange::budgetLeft(const Subrequest& subrequest, base::TimePoint now) const
 {
     auto budget = budgetOf(m_state.settings.retryBudget);
@@ -73,6 +83,9 @@
 std::string Exchange::takeSend(Subrequest& subrequest, const std::string& upstream, const char* cause, bool isHedge)
 {
     auto now = base::BootClock::now();
+    // After a pause, a connection may become free before anything else notices the pause.
+    if (m_state.checkPause)
+        m_state.checkPause(now);
     const auto* entry = m_state.content.upstreams().find(upstream);
     const auto& history = subrequest.history;
     auto isRunning = history.inFlight > history.waiting;
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -82,6 +82,7 @@
 {
     m_calm.changedAt = m_startedAt;
     m_calm.seenChangeAt = m_startedAt;
+    m_state.checkPause = [this](base::TimePoint now) { checkPause(now); };
     m_state.gate.hostName = settings.host.name;
     m_state.gate.coldPart = 0;
     // A host may be listed among its own seeds.
--- a/Source/papayabend/gateway/GatewayState.h
+++ b/Source/papayabend/gateway/GatewayState.h
@@ -20,6 +20,7 @@
 #include "papayabend/gateway/UpstreamPool.h"
 #include "papayabend/routes/SplitChoice.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -56,6 +57,8 @@
     dispatch::TurnDelay turnDelay;
     /** Time of the newest answer of the store, to this host or to another one that has stated its age. */
     base::TimePoint contentConfirmedAt {};
+    /** Looks for a pause of the process that has just ended, and marks the content as stale after one; may be empty. */
+    std::function<void(base::TimePoint now)> checkPause;
     /** End of the last pause of the process. */
     base::TimePoint resumedAt {};
     /** The process was paused, and neither the store nor another host has confirmed its content since. */
--- a/Source/papayabend/routes/ConfigurationCheck.cpp
+++ b/Source/papayabend/routes/ConfigurationCheck.cpp
@@ -202,6 +202,13 @@
         return routes;
     }
 
+    std::string rateText(double perSecond)
+    {
+        std::ostringstream text;
+        text << perSecond;
+        return perSecond > 0 ? text.str() : "unbounded";
+    }
+
     std::string connectionsText(uint32_t connections)
     {
         return connections == 0 ? "unbounded" : std::to_string(connections);
@@ -276,6 +283,17 @@
         if (!oldServices.contains(service))
             lines.push_back(nameOf(service) + ": added");
     }
+    auto coldRate = [](const Configuration& configuration, const std::string& service) {
+        auto it = configuration.coldRequestsPerSecond.find(service);
+        return it == configuration.coldRequestsPerSecond.end() ? 0.0 : it->second;
+    };
+    for (const auto& [service, connections] : nextServices) {
+        auto old = coldRate(before, service);
+        auto next = coldRate(after, service);
+        if (old != next)
+            lines.push_back(
+                nameOf(service) + ": requests a second while cold " + rateText(old) + " -> " + rateText(next));
+    }
     compareFields("limits", before.limits, after.limits, lines);
     return lines;
 }
--- a/Tests/gateway/ExchangeGateTest.cpp
+++ b/Tests/gateway/ExchangeGateTest.cpp
@@ -200,6 +200,43 @@
     LONGS_EQUAL(1, arrivals("/look/2"));
 }
 
+// Guards against a hedge that goes to a cold upstream as an ordinary attempt after it has waited too long elsewhere.
+TEST(ExchangeGate, HedgeThatWaitedTooLongGoesToNoColdUpstream)
+{
+    nextConfiguration.coldRequestsPerSecond["desk"] = 100;
+    publish();
+    auto& busy = addUpstream(Behaviour::Silent, "d1");
+    occupy(busy, "/hold/1");
+    auto& first = addUpstream(Behaviour::Silent, "d1");
+    begin("/look/2");
+    CHECK_TRUE(runUntil([&] { return waiting("u1") == 1; }));
+    auto& cold = addUpstream(Behaviour::Answer, "d1");
+    state->gate.cold.observe(dispatch::UpstreamLimits::keyOf("u3", std::nullopt), 10s, base::BootClock::now());
+    io.run_for(300ms);
+    LONGS_EQUAL(0, cold.requests.size());
+    release(first);
+    CHECK_EQUAL(200U, statusOf("/look/2"));
+    release(busy);
+}
+
+// Guards against a request that is sent by what was known before a pause of the process, if a connection is free before
+// anything else notices the pause.
+TEST(ExchangeGate, PauseIsNoticedAtTheSend)
+{
+    publish();
+    auto& only = addUpstream(Behaviour::Silent, "d1");
+    occupy(only, "/hold/1");
+    begin("/look/2");
+    LONGS_EQUAL(1, waiting("u1"));
+    state->checkPause = [this](base::TimePoint) { state->isStale = true; };
+    release(only);
+    CHECK_EQUAL(200U, statusOf("/hold/1"));
+    io.run_for(100ms);
+    LONGS_EQUAL(0, arrivals("/look/2"));
+    state->checkPause = nullptr;
+    state->isStale = false;
+}
+
 // Guards against attempts that go on waiting for an upstream to which they will not be sent.
 TEST(ExchangeGate, AttemptsThatWaitForADrainingUpstreamEndAtOnce)
 {
--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -260,6 +260,13 @@
     STRCMP_EQUAL("the value is not a JSON object", reason.text.c_str());
 }
 
+// Guards against a value whose tree fills the memory of every host.
+TEST(Decode, EvacuationWithVeryManyValuesIsNotParsed)
+{
+    CHECK_FALSE(platform::parseEvacuation(std::string(2'000'000, '['), reason));
+    STRCMP_EQUAL("the JSON text has too many values", reason.text.c_str());
+}
+
 // Guards against a bound of cold upstreams that is read from a wrong key, or where none is stated.
 TEST(Decode, BoundOfColdUpstreams)
 {
--- a/Tests/routes/ConfigurationCheckTest.cpp
+++ b/Tests/routes/ConfigurationCheckTest.cpp
@@ -196,6 +196,7 @@
     next.maxConnections.erase("s3");
     next.maxConnections["s4"] = 0;
     next.maxConnections["desk"] = 40;
+    next.coldRequestsPerSecond["desk"] = 4.5;
     next.limits.bodyBytes = 1000;
     std::string text;
     for (const auto& line : compareConfigurations(value, next))
@@ -209,6 +210,7 @@
                  "service desk: connections 30 -> 40\n"
                  "service s3: removed\n"
                  "service s4: added\n"
+                 "service desk: requests a second while cold unbounded -> 4.5\n"
                  "limits: body bytes 262144 -> 1000\n",
         text.c_str());
 }
