--- a/Tests/gateway/ExchangeGateTest.cpp
+++ b/Tests/gateway/ExchangeGateTest.cpp
@@ -208,10 +208,10 @@
     auto& busy = addUpstream(Behaviour::Silent, "d1");
     occupy(busy, "/hold/1");
     auto& first = addUpstream(Behaviour::Silent, "d1");
+    auto& cold = addUpstream(Behaviour::Answer, "d2");
+    state->gate.cold.observe(dispatch::UpstreamLimits::keyOf("u3", std::nullopt), 10s, base::BootClock::now());
     begin("/look/2");
     CHECK_TRUE(runUntil([&] { return waiting("u1") == 1; }));
-    auto& cold = addUpstream(Behaviour::Answer, "d1");
-    state->gate.cold.observe(dispatch::UpstreamLimits::keyOf("u3", std::nullopt), 10s, base::BootClock::now());
     io.run_for(300ms);
     LONGS_EQUAL(0, cold.requests.size());
     release(first);
