--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import os
 import random
@@ -46,6 +47,7 @@
 
     def __init__(self):
         self.items, self.history, self.revision = {}, [], 1
+        self.calls = {}
         self.changed = asyncio.Event()
 
     def put(self, key, value):
@@ -75,10 +77,11 @@
                 pass
         return {"events": [it for it in self.history if it["revision"] > after], "as-of": self.revision}
 
-    async def serve(self, reader, writer):
+    async def serve(self, host, reader, writer):
         try:
             while True:
                 first, _, _ = await read_message(reader)
+                self.calls[host] = self.calls.get(host, 0) + 1
                 body = json.dumps(await self.answer(first.split(" ")[1])).encode()
                 writer.write(message("HTTP/1.1 200 OK", [("Content-Type", "application/json")], body))
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -169,7 +172,7 @@
             "listen-addrs": {name: "%s:%d" % (self.ip, port) for name, port in ports.items()},
             "internal-ports": [7380, 7395], "limits": {"cpu-share": 0.25},
             "seeds": ["%s.%d:8106" % (self.world.net, n + 1) for n in range(min(3, self.world.hosts))],
-            "platform": {"address": "127.0.0.1:%d" % self.world.store_port},
+            "platform": {"address": "127.0.0.1:%d" % self.world.store_ports[self.index]},
             "bounds": {"retry-budget-ratio": 0.2, "retry-budget-extra": 56, "retry-window-s": 10, "grace-s": 6}}
         with open(os.path.join(ROOT, "platform/settings.template")) as file:
             return render(file.read(), fields)
@@ -242,8 +245,10 @@
 
     async def start(self, folder, services):
         self.folder = folder
-        listener = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
-        self.store_port = listener.sockets[0].getsockname()[1]
+        # A port for each host, so that the store knows who calls.
+        listeners = [await asyncio.start_server(functools.partial(self.store.serve, n), "127.0.0.1", 0)
+                     for n in range(self.hosts)]
+        self.store_ports = [it.sockets[0].getsockname()[1] for it in listeners]
         for service, count in services.items():
             for n in range(count):
                 self.servers.append(await Server(self, service, "i-%s-%d" % (service, n + 1)).start())
