--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -8,7 +8,6 @@
 import os
 import random
 import re
-import signal
 import socket
 import sys
 import tempfile
@@ -213,10 +212,6 @@
         finally:
             writer.close()
 
-    def kill(self):
-        self.world.record("kill", host=self.ip)
-        self.process.send_signal(signal.SIGKILL)
-
     async def end(self):
         if self.process and self.process.returncode is None:
             self.process.kill()
