gateway: Log the era of the store, and the own revision beside a list

The log could not tell whether a host ignores what the store holds because of its revision, and did not show that the store had returned from an older copy. The header Store-Era is decoded; a reader logs when it rises, and `listed` has the revision of this host's content. Logic is unchanged.

--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -53,11 +53,18 @@
         auto before = m_state.content.revision();
         m_state.content.retain(keys, asOf, base::BootClock::now());
         logEvent("listed",
-            LogFields().add("keys", static_cast<int64_t>(keys.size())).add("revision", static_cast<int64_t>(asOf)));
+            LogFields()
+                .add("keys", static_cast<int64_t>(keys.size()))
+                .add("revision", static_cast<int64_t>(asOf))
+                .add("revisionBefore", static_cast<int64_t>(before)));
         updateAfterContentChange();
         recordStoreAnswer(true);
         pushChanges(before);
     };
+    events.eraBegun = [this](uint64_t before, uint64_t era) {
+        logEvent(
+            "storeEra", LogFields().add("before", static_cast<int64_t>(before)).add("era", static_cast<int64_t>(era)));
+    };
     events.regained = [this] {
         m_state.fleet.self().isStoreUnreachable = false;
         logEvent("regained", LogFields().add("dependency", "store"));
--- a/Source/papayabend/gateway/PlatformAdapter.h
+++ b/Source/papayabend/gateway/PlatformAdapter.h
@@ -91,6 +91,8 @@
     std::string (*watchTarget)(std::string_view prefix, uint64_t revision, base::Duration wait);
     std::optional<StorePage> (*parsePage)(std::string_view body, base::LastReason&);
     std::optional<StorePage> (*parseEvents)(std::string_view body, base::LastReason&);
+    /** Returns the era that an answer of the store names, 0 if it names none, or nothing if it cannot be read. */
+    std::optional<uint64_t> (*parseStoreEra)(const HttpResponse&);
     UpstreamReport (*parseUpstreamReport)(const HttpResponse&);
     /** Parses the target of a request for addresses; returns nothing if it is another kind of request. */
     std::optional<EntryRequest> (*parseEntryRequest)(std::string_view target);
--- a/Source/papayabend/gateway/StoreReader.cpp
+++ b/Source/papayabend/gateway/StoreReader.cpp
@@ -3,6 +3,7 @@
 #include "papayabend/gateway/Address.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayabend::gateway {
 
@@ -135,6 +136,9 @@
     }
     if (status != 200)
         return handleFailure("status " + std::to_string(status));
+    auto era = m_adapter.parseStoreEra(result.answer).value_or(m_era);
+    if (era > m_era)
+        m_events.eraBegun(std::exchange(m_era, era), era);
     m_isListing ? handlePage(result.answer) : handleEvents(result.answer);
 }
 
--- a/Source/papayabend/gateway/StoreReader.h
+++ b/Source/papayabend/gateway/StoreReader.h
@@ -24,6 +24,8 @@
     std::function<void()> regained;
     /** The first call that failed since follow() or since the store last answered. */
     std::function<void(const std::string& reason)> lost;
+    /** An answer belongs to a later era of the store's history than any before. */
+    std::function<void(uint64_t before, uint64_t era)> eraBegun { [](uint64_t, uint64_t) {} };
     /** A watch has ended without a change. */
     std::function<void()> unchanged { [] {} };
     /** Returns the time from an answer of a watch to the next call. */
@@ -99,6 +101,7 @@
     std::set<std::string> m_listedKeys;
     uint64_t m_listRevision { 0 };
     uint64_t m_revision { 0 };
+    uint64_t m_era { 0 }; /**< Latest era that an answer has named. */
     uint32_t m_failures { 0 };
     uint64_t m_calls { 0 };
     base::TimePoint m_answeredAt {};
--- a/Tests/gateway/ContentTransferTest.cpp
+++ b/Tests/gateway/ContentTransferTest.cpp
@@ -46,6 +46,7 @@
         adapter.watchTarget = [](std::string_view, uint64_t, base::Duration) { return std::string("/watch"); };
         adapter.parsePage = parseLargePage;
         adapter.parseEvents = parseLargePage;
+        adapter.parseStoreEra = [](const HttpResponse&) { return std::optional<uint64_t>(0); };
         adapter.parseEntryRequest = [](std::string_view) { return std::optional<EntryRequest>(); };
         host = std::make_unique<GatewayHost>(io, settings, "", adapter, 1);
         base::LastReason reason;
--- a/Tests/gateway/StoreReaderTest.cpp
+++ b/Tests/gateway/StoreReaderTest.cpp
@@ -28,6 +28,7 @@
         adapter.parsePage = [](std::string_view body, base::LastReason&) {
             return std::optional(StorePage { { { std::string(body), "", 1 } }, false, 1 });
         };
+        adapter.parseStoreEra = [](const HttpResponse&) { return std::optional<uint64_t>(0); };
         StoreEvents events;
         events.pageReceived = [this](const StorePage& page) { listed = page.items.front().key; };
         events.listCompleted = [](const std::set<std::string>&, uint64_t) {};
--- a/Tests/platform/DecodeTest.cpp
+++ b/Tests/platform/DecodeTest.cpp
@@ -28,6 +28,19 @@
     }
 };
 
+// Guards against an era that is lost or misread, so that revisions of two eras are compared.
+TEST(Decode, EraOfTheStoreIsReadFromItsAnswers)
+{
+    gateway::HttpResponse answer;
+    LONGS_EQUAL(0, platform::parseStoreEra(answer).value());
+    answer.set("Store-Era", "17");
+    LONGS_EQUAL(17, platform::parseStoreEra(answer).value());
+    for (const auto* text : { "", "-1", "1.5", "new" }) {
+        answer.set("Store-Era", text);
+        CHECK_FALSE(platform::parseStoreEra(answer).has_value());
+    }
+}
+
 // Guards against a value of the store whose tree fills the memory of the host.
 TEST(Decode, ValuesOfManyArraysAreNotParsed)
 {
