processes: Add failing tests of a store that returns from an older copy

What callers see: a route that was added after the return gets 404. The tests run three real gateways against the stand-in of the store, which can now return from a copy, names its era and answers a watch after a revision that it does not have with 410.

--- a/Tests/soak/standins.py
+++ b/Tests/soak/standins.py
@@ -46,9 +46,13 @@
 
 
 class Store:
-    """The configuration store: keys with revisions, lists, watches, lost history."""
+    """The configuration store: keys with revisions, lists, watches, lost history, and the return from an older copy."""
 
     def __init__(self):
+        self.era = 1
+        self.is_down = False
+        self.calls = 0
+        self.writers = set()
         self.items = {}
         self.revision = 1
         self.history = []
@@ -73,6 +77,20 @@
     def compact(self):
         self.history = self.history[-1:]
 
+    def copy(self):
+        return dict(self.items), self.revision, list(self.history)
+
+    def stop(self):
+        self.is_down = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def restore(self, copy):
+        """Returns from a copy: what was written since is gone, and its revisions are given out again."""
+        self.items, self.revision, self.history = dict(copy[0]), copy[1], list(copy[2])
+        self.era += 1
+        self.is_down = False
+
     def first_known(self):
         return self.history[0]["revision"] if self.history else self.revision + 1
 
@@ -84,6 +102,8 @@
             page = keys[:20]
             return 200, {"items": [self.items[k] for k in page], "has-more": len(keys) > 20, "as-of": self.revision}
         after = int(query["after"])
+        if after > self.revision:
+            return 410, {}
         if after + 1 < self.first_known() and after < self.revision:
             return 410, {}
         if after >= self.revision:
@@ -94,16 +114,23 @@
         return 200, {"events": [e for e in self.history if e["revision"] > after], "as-of": self.revision}
 
     async def serve(self, reader, writer):
+        if self.is_down:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
         try:
             while True:
                 first, _, _ = await read_message(reader)
+                self.calls += 1
                 status, body = await self.answer(first.split(" ")[1])
-                writer.write(message("HTTP/1.1 %d X" % status, {"Content-Type": "application/json"},
+                writer.write(message("HTTP/1.1 %d X" % status, {"Content-Type": "application/json",
+                                                                "Store-Era": str(self.era)},
                                      json.dumps(body).encode()))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
