gateway: Relay requests while a host has lost its links to the upstreams

Cause: a host judged each upstream by itself and never concluded that it was the one that is cut off; it waited for connections, and nothing in its heartbeats kept callers away. Leaving it out of entry answers alone would not do, since callers keep these.

Change: dispatch/UpstreamReach decides from the tries of the last 1.5 s whether the links are lost; heartbeats state it. While another host states that it reaches the upstreams, hosts without links are named to no caller, and requests that still come are passed on to one that does (gateway/RequestRelay), unchanged and with the time that is left. The other host never relays again. If no host reaches the upstreams, nothing changes.

--- a/Source/papayabend/dispatch/ChooseUpstream.h
+++ b/Source/papayabend/dispatch/ChooseUpstream.h
@@ -4,6 +4,7 @@
 #include "papayabend/discovery/UpstreamDirectory.h"
 #include "papayabend/dispatch/UpstreamEstimate.h"
 #include "papayabend/dispatch/UpstreamGate.h"
+#include "papayabend/dispatch/UpstreamReach.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,7 @@
     uint32_t consecutiveRefusals { 0 }; /**< Connections refused in a row while no other one was open. */
     base::TimePoint connectPauseUntil {}; /**< End of the pause after those refusals. */
     uint32_t waiting { 0 }; /**< Requests that wait for a connection. */
+    ReachObservation reach;
     UpstreamEstimate estimate; /**< Used only where ChoiceInputs::learned is set. */
 };
 
--- a/Source/papayabend/fleet/EntryAddresses.cpp
+++ b/Source/papayabend/fleet/EntryAddresses.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/fleet/EntryAddresses.h"
 
 #include "papayabend/base/Hash.h"
+#include "papayabend/fleet/Reach.h"
 
 #include <algorithm>
 #include <tuple>
@@ -88,9 +89,11 @@
     void addAllHosts(Hosts& hosts, const FleetView& fleet, const ServingSettings& settings, const EntryOptions& options,
         bool isProbablyIsolated, base::TimePoint now)
     {
+        auto othersReach = reachesUpstreams(fleet, now);
         auto add = [&](bool isEvacuated, base::Duration maxSilence) {
             auto addHost = [&](const Heartbeat& heartbeat) {
-                if (heartbeat.stage == HostStage::Ready && std::ranges::find(hosts, &heartbeat) == hosts.end()
+                if (heartbeat.stage == HostStage::Ready && (!othersReach || heartbeat.reach != UpstreamReachState::Lost)
+                    && std::ranges::find(hosts, &heartbeat) == hosts.end()
                     && options.evacuatedDomains.contains(heartbeat.failureDomain) == isEvacuated)
                     hosts.push_back(&heartbeat);
             };
@@ -105,8 +108,10 @@
         add(false, maxSilence);
         if (hosts.size() < minLocalHosts)
             add(true, maxSilence);
-        if (hosts.empty())
+        if (hosts.empty()) {
+            othersReach = false;
             add(false, FleetView::removalTimeout);
+        }
     }
 
 }
--- a/Source/papayabend/fleet/FleetView.h
+++ b/Source/papayabend/fleet/FleetView.h
@@ -20,6 +20,15 @@
     Leaving,
 };
 
+/** \enum UpstreamReachState
+ * \brief Whether a host reaches the upstreams, as far as it can see by itself.
+ */
+enum class UpstreamReachState : uint8_t {
+    Unknown, /**< It has tried few lately, or many do not answer. */
+    Reached,
+    Lost,
+};
+
 /** \struct Heartbeat
  * \brief State of a host as it reports it itself, directly or relayed by other hosts.
  */
@@ -43,6 +52,7 @@
     uint32_t changeAgeMs { 0 };
     std::string fanOutRoom; /**< Fan-outs that its sets of shards can bear, see dispatch::encodeNotices(). */
     uint64_t contentEra { 0 }; /**< Era of the store that contentRevision belongs to. */
+    UpstreamReachState reach { UpstreamReachState::Unknown };
 
     /** Hosts of previous versions, and those without a confirmation, state no age. */
     static constexpr uint32_t unknownStoreAge = UINT32_MAX;
--- a/Source/papayabend/fleet/HeartbeatCodec.cpp
+++ b/Source/papayabend/fleet/HeartbeatCodec.cpp
@@ -25,7 +25,7 @@
             heartbeat.incarnation, heartbeat.sequence, static_cast<unsigned>(heartbeat.stage),
             heartbeat.configurationVersion, heartbeat.contentRevision, heartbeat.isStoreUnreachable, heartbeat.capacity,
             heartbeat.load, heartbeat.demand, heartbeat.storeAgeMs, heartbeat.changeAgeMs, heartbeat.fanOutRoom,
-            heartbeat.contentEra });
+            heartbeat.contentEra, static_cast<unsigned>(heartbeat.reach) });
     }
 
     // Hosts of previous versions expect the number of lost upstreams of each request, and no deeper nesting.
@@ -65,12 +65,15 @@
         constexpr size_t eraIndex = 16;
         auto room = value.size() > roomIndex ? value.at(roomIndex).get<std::string>() : std::string();
         auto era = value.size() > eraIndex ? value.at(eraIndex).get<uint64_t>() : 0;
+        constexpr size_t reachIndex = 17;
+        auto reach = std::min(laterField(reachIndex), static_cast<uint32_t>(UpstreamReachState::Lost));
         auto stage = std::min(value.at(6).get<unsigned>(), static_cast<unsigned>(HostStage::Leaving));
         return { value.at(0).get<std::string>(), value.at(1).get<std::string>(), value.at(2).get<std::string>(),
             value.at(3).get<std::string>(), value.at(4).get<uint64_t>(), value.at(5).get<uint64_t>(),
             static_cast<HostStage>(stage), value.at(7).get<uint64_t>(), value.at(8).get<uint64_t>(),
             value.at(9).get<bool>(), value.at(10).get<uint32_t>(), laterField(11), laterField(12),
-            laterField(13, Heartbeat::unknownStoreAge), laterField(14), std::move(room), era };
+            laterField(13, Heartbeat::unknownStoreAge), laterField(14), std::move(room), era,
+            static_cast<UpstreamReachState>(reach) };
     }
 
 }
--- a/Source/papayabend/fleet/Roles.cpp
+++ b/Source/papayabend/fleet/Roles.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/fleet/Roles.h"
 
 #include "papayabend/base/Hash.h"
+#include "papayabend/fleet/Reach.h"
 
 #include <algorithm>
 #include <bit>
@@ -109,6 +110,7 @@
         DomainHosts hosts;
         std::map<std::string_view, uint64_t> otherLoads;
         uint32_t strongest = 0;
+        auto othersReach = reachesUpstreams(fleet, now);
         for (const auto* heartbeat : fleet.liveHeartbeats(now)) {
             if (heartbeat->failureDomain != failureDomain) {
                 if (settings.prefersStrongHosts)
@@ -116,7 +118,7 @@
                 continue;
             }
             hosts.load += heartbeat->load;
-            if (heartbeat->stage != HostStage::Ready)
+            if (heartbeat->stage != HostStage::Ready || (othersReach && heartbeat->reach == UpstreamReachState::Lost))
                 continue;
             hosts.ready.push_back(heartbeat);
             strongest = std::max(strongest, heartbeat->capacity);
--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -1,6 +1,7 @@
 #include "papayabend/gateway/Exchange.h"
 
 #include "papayabend/dispatch/SendDecision.h"
+#include "papayabend/gateway/RequestRelay.h"
 
 #include <algorithm>
 #include <cmath>
@@ -124,7 +125,7 @@
         finish(plainAnswer(404, "no route matches the host and path"), "no_route");
         return false;
     }
-    m_fields = endToEndFields(message, { names.deadline, names.expectedInstance });
+    m_fields = endToEndFields(message, { names.deadline, names.expectedInstance, RequestRelay::relayField });
     m_fingerprint = dispatch::CrashSuspects::fingerprintOf(m_method, m_host, m_target, message.body());
     auto time = base::Duration::max();
     if (m_route->timeout.count() > 0)
--- a/Source/papayabend/gateway/GatewayHost.cpp
+++ b/Source/papayabend/gateway/GatewayHost.cpp
@@ -74,6 +74,7 @@
     , m_settingsText(readFile(m_settingsFile))
     , m_storeReader(io, adapter, settings.store.address, seed + 1, storeEvents(), m_faults, m_buffers)
     , m_peerLink(io, m_state.fleet, seed + 2, peerEvents(), m_faults, m_buffers)
+    , m_relay(m_state, m_buffers)
     , m_tickTimer(io)
     , m_stopTimer(io)
     , m_pullTimer(io)
@@ -147,11 +148,16 @@
 {
     checkPause(base::BootClock::now());
     if (address == m_state.settings.listen.callers) {
-        if (address != m_state.settings.listen.entry || !answerOwnRequest(address, request))
+        auto isOwn = address == m_state.settings.listen.entry && answerOwnRequest(address, request);
+        if (!isOwn && (!relays() || !m_relay.relay(request)))
             Exchange::begin(m_state, request);
         return;
     }
-    if (!answerOwnRequest(address, request))
+    if (answerOwnRequest(address, request))
+        return;
+    if (address == m_state.settings.listen.peers && request->message.count(toBeast(RequestRelay::relayField)) > 0)
+        Exchange::begin(m_state, request);
+    else
         request->answer(plainAnswer(404, "no such resource"));
 }
 
@@ -322,6 +328,7 @@
     m_state.fleet.self().demand = static_cast<uint32_t>(m_demandEstimate.perSecond);
     m_state.gate.limitShare = fleet::demandShare(m_state.fleet, now);
     updateAdmission(now);
+    updateReach(now);
     updateStoreReader(now);
     pullIfBehind(now);
     dropUnusedEncoding(now);
@@ -443,6 +450,7 @@
         if (auto exchange = weak.lock())
             exchange->endNow();
     }
+    m_relay.endAll();
 }
 
 void GatewayHost::stopWhenIdle()
--- a/Source/papayabend/gateway/GatewayHost.h
+++ b/Source/papayabend/gateway/GatewayHost.h
@@ -8,6 +8,7 @@
 #include "papayabend/gateway/GatewayState.h"
 #include "papayabend/gateway/HttpListener.h"
 #include "papayabend/gateway/PeerLink.h"
+#include "papayabend/gateway/RequestRelay.h"
 #include "papayabend/gateway/StoreReader.h"
 #include "papayabend/membership/PauseDetector.h"
 
@@ -111,6 +112,10 @@
     void updateAdmission(base::TimePoint now);
     /** Records changes of the fleet that determine how long entry answers are valid, and logs them. */
     void updateCalm(base::TimePoint now);
+    /** Finds out whether this host reaches the upstreams, and tells the others. */
+    void updateReach(base::TimePoint now);
+    /** Returns whether requests of callers are passed on to other hosts. */
+    bool relays() const;
     /** Does the periodic work and schedules the next run. */
     void tick();
     void waitForSignal();
@@ -170,6 +175,8 @@
     std::string m_tableText;
     StoreReader m_storeReader;
     PeerLink m_peerLink;
+    RequestRelay m_relay;
+    dispatch::UpstreamReach m_reach;
     std::vector<std::pair<std::string, std::unique_ptr<HttpListener>>> m_listeners;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_stopTimer;
--- a/Source/papayabend/gateway/GatewayHostMetrics.cpp
+++ b/Source/papayabend/gateway/GatewayHostMetrics.cpp
@@ -45,6 +45,8 @@
     counter("store_calls_total", m_storeReader.calls());
     gauge("content_age_seconds", std::chrono::duration<double>(now - m_state.contentConfirmedAt).count());
     counter("store_stand_ins_total", m_standIns);
+    gauge("upstream_links_lost", m_reach.isLost ? 1 : 0);
+    counter("relayed_requests_total", m_relay.relayed());
     gauge("buffered_bytes", m_buffers->bytes);
     counter("buffers_revoked_total", m_buffers->revoked);
     for (size_t n = 0; n < refusalReasons; ++n) {
--- a/Source/papayabend/gateway/UpstreamPool.cpp
+++ b/Source/papayabend/gateway/UpstreamPool.cpp
@@ -100,6 +100,7 @@
         return failQueue(upstream, "the address of the upstream is not an IPv4 address and port");
     ++upstream.connecting;
     ++m_counters.connectionsOpened;
+    dispatch::recordTry(upstream.load.reach, base::BootClock::now());
     refreshCounts(upstream);
     auto connection = std::make_shared<HttpConnection>(m_io, m_buffers, m_faults);
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, HttpConnection::connectTimeout);
@@ -153,6 +154,7 @@
             failQueue(*target, problem);
         return;
     }
+    dispatch::recordAnswer(target->load.reach, base::BootClock::now());
     connection->setOnIdleEnd([this, id, raw = connection.get()] {
         if (auto* ended = find(id)) {
             recordRefusedConnection(*ended, *raw);
@@ -171,6 +173,22 @@
         connect(*target, alive);
 }
 
+void UpstreamPool::tryConnect(const discovery::UpstreamRecord& record)
+{
+    auto& target = upstream(record.id);
+    updateAddress(target, record);
+    if (mayConnect(target))
+        connect(target);
+}
+
+dispatch::ReachCounts UpstreamPool::reachCounts(base::TimePoint now) const
+{
+    dispatch::ReachCounts counts;
+    for (const auto& [id, upstream] : m_upstreams)
+        dispatch::count(counts, upstream->load.reach, now);
+    return counts;
+}
+
 bool UpstreamPool::mayConnect(const Upstream& upstream)
 {
     // Few connections without an answer at a time, because an upstream at its connection limit resets new ones.
@@ -261,6 +279,7 @@
     attempt->connection = connection;
     attempt->sentAt = base::BootClock::now();
     upstream.load.sentAt.push_back(attempt->sentAt);
+    dispatch::recordTry(upstream.load.reach, attempt->sentAt);
     ++m_counters.attempts;
     auto text = attempt->buildRequest(upstream.id);
     if (attempt->onSent)
@@ -275,7 +294,9 @@
         auto it = std::ranges::find(target->load.sentAt, attempt->sentAt);
         if (it != target->load.sentAt.end())
             target->load.sentAt.erase(it);
-        if (result.end != CallEnd::Answered)
+        if (result.end == CallEnd::Answered)
+            dispatch::recordAnswer(target->load.reach, base::BootClock::now());
+        else
             ++m_counters.attemptsLost;
         auto connection = attempt->connection.lock();
         if (connection && result.end == CallEnd::Lost && !result.hadAnswerBytes)
--- a/Source/papayabend/gateway/UpstreamPool.h
+++ b/Source/papayabend/gateway/UpstreamPool.h
@@ -55,6 +55,12 @@
      * nothing if no connection may be opened now. */
     void probe(std::string_view id, const std::function<void()>& alive);
 
+    /** Opens a connection to find out whether the upstream is reached, unless none may be opened now. */
+    void tryConnect(const discovery::UpstreamRecord&);
+
+    /** Counts the upstreams that were tried lately. */
+    dispatch::ReachCounts reachCounts(base::TimePoint now) const;
+
     /** Ends an attempt: an unsent one is removed from the queue, the connection of a sent one is closed. */
     void cancel(const std::shared_ptr<Attempt>&, std::string_view reason);
 
--- a/Tests/fleet/HeartbeatCodecTest.cpp
+++ b/Tests/fleet/HeartbeatCodecTest.cpp
@@ -27,6 +27,7 @@
     heartbeat.configurationVersion = 11;
     heartbeat.contentRevision = 12;
     heartbeat.contentEra = 4;
+    heartbeat.reach = UpstreamReachState::Lost;
     heartbeat.isStoreUnreachable = true;
     heartbeat.capacity = 250;
     heartbeat.load = 1700;
@@ -49,6 +50,7 @@
     LONGS_EQUAL(11, read.configurationVersion);
     LONGS_EQUAL(12, read.contentRevision);
     LONGS_EQUAL(4, read.contentEra);
+    CHECK_TRUE(read.reach == UpstreamReachState::Lost);
     LONGS_EQUAL(250, read.capacity);
     LONGS_EQUAL(1700, read.load);
     LONGS_EQUAL(800, read.demand);
