gateway: End an attempt whose answer has a status outside of HTTP

It does not here: the parser takes 000, and a status below 200 was skipped like an interim answer, so that the request waited for another one until its deadline, or a hedge. Statuses from 600 to 999 were taken for answers, and those with a signature were returned.

An answer with a status below 100 or above 599 is now no valid answer: the attempt ends as garbled, may have run, and the connection is closed. HttpCall.AnswerWithAStatusOutsideOfHttpEndsTheAttempt failed before at 000 (no result in 2 s) and passes.

--- a/Source/papayabend/gateway/HttpCall.cpp
+++ b/Source/papayabend/gateway/HttpCall.cpp
@@ -33,6 +33,8 @@
     constexpr std::chrono::milliseconds idleMargin { 300 };
     // Longer idle limits of a peer are taken for this one, so that they can be added to a point in time.
     constexpr uint64_t maxIdleSeconds = 3600;
+    constexpr unsigned minStatus = 100;
+    constexpr unsigned maxStatus = 599;
     constexpr std::string_view memoryReason = "unfinished messages use too much memory of this host";
 
     void setSocketOptions(tcp::socket& socket)
@@ -250,7 +252,12 @@
 
 bool HttpConnection::completeAnswer()
 {
-    auto isInterim = m_parser->get().result_int() < 200;
+    auto status = m_parser->get().result_int();
+    if (status < minStatus || status > maxStatus) {
+        fail(CallEnd::Garbled, "the status of the answer is none of HTTP: " + std::to_string(status));
+        return false;
+    }
+    auto isInterim = status < 200;
     if (isInterim || !isForThisRequest()) {
         m_closesAfterAnswer = m_closesAfterAnswer || !isInterim;
         newParser();
--- a/Tests/gateway/HttpCallTest.cpp
+++ b/Tests/gateway/HttpCallTest.cpp
@@ -371,3 +371,24 @@
     LONGS_EQUAL(0, budget->bytes);
     LONGS_EQUAL(0, budget->holds);
 }
+
+// Guards against a status that does not exist, which the client gets as an answer, or which is skipped like an interim
+// answer, so that the request waits until its deadline.
+TEST(HttpCall, AnswerWithAStatusOutsideOfHttpEndsTheAttempt)
+{
+    for (const auto* status : { "000", "007", "099", "600", "999" }) {
+        reconnect();
+        auto result = std::make_shared<std::optional<CallResult>>();
+        connection->send(
+            "GET / HTTP/1.1\r\n\r\n", "X-Id", "7", false, [result](CallResult it) { *result = std::move(it); });
+        asio::write(*upstream,
+            asio::buffer(
+                "HTTP/1.1 " + std::string(status) + " X\r\nX-Id: 7\r\nX-Proof: 1\r\nContent-Length: 2\r\n\r\nok"));
+        auto end = base::BootClock::now() + 2s;
+        while (!*result && base::BootClock::now() < end)
+            io.run_for(5ms);
+        CHECK_TRUE(result->has_value());
+        CHECK_TRUE((*result)->end == CallEnd::Garbled);
+        CHECK_FALSE(connection->isOpen());
+    }
+}
