--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -592,6 +592,25 @@
             self.note("the store drops its history")
             self.store.compact()
 
+        async def restore():
+            copy = self.store.copy()
+            await asyncio.sleep(self.random.uniform(0.5, 5))
+            self.note("the store goes away")
+            self.calm_since = float("inf")
+            self.disturbances += 1
+            self.store.stop()
+            await asyncio.sleep(self.random.uniform(0.2, 2))
+            lost = self.store.restore(copy)
+            self.note("the store returns without %d keys" % len(lost))
+            await asyncio.sleep(self.random.uniform(0, 1.5))
+            for key, value in lost.items():
+                # Unless it was written since the return.
+                if self.store.items.get(key) == copy[0].get(key):
+                    self.store.put(key, value)
+            self.disturbances -= 1
+            if self.disturbances == 0:
+                self.calm_since = self.now()
+
         odd = {"service": "desk", "address": "127.0.0.1:70000", "zone": "z0", "max-concurrency": 10 ** 30, "state": "ready",
                "warmup-left-ms": 1e300, "sequence": 1}
         nested = []
@@ -601,7 +620,8 @@
         async def forged():
             self.store.put("servers/x-%d" % self.random.randint(0, 3), self.random.choice(
                 [None, 7, {}, {"service": "desk"}, {"service": 1, "address": "x", "state": "up"}, odd, nested]))
-        return [kill, pause, silence, resets, lose, extra, slow, store_down, store_silent, compact, forged]
+        return [kill, pause, silence, resets, lose, extra, slow, store_down, store_silent, compact, forged] + (
+            [restore, restore] if self.options.restores else [])
 
     async def send_wrong_bytes(self):
         """Lets upstreams, clients and peers send wrong bytes all the time, and upstreams repeat answers."""
@@ -710,6 +730,7 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--planned", action="store_true", help="planned work only; no answer may be cut")
     parser.add_argument("--wrong-bytes", action="store_true", help="upstreams, clients and peers also send wrong bytes; no request ends upstreams")
+    parser.add_argument("--restores", action="store_true", help="the store also returns from older copies")
     parser.add_argument("--domains", action="store_true", help="also evacuations of failure domains and cold upstreams")
     parser.add_argument("--slack", type=float, default=1.0,
                         help="seconds added to bounds for the scheduling of some dozen processes on one machine")
--- a/Tests/soak/standins.py
+++ b/Tests/soak/standins.py
@@ -58,9 +58,11 @@
         self.history = []
         self.changed = asyncio.Event()
         self.acknowledged = {}
+        self.written = []
 
     def put(self, key, value):
         self.revision += 1
+        self.written.append((key, value))
         if value is None:
             self.items.pop(key, None)
             event = {"key": key, "revision": self.revision, "tombstone": True}
@@ -78,7 +80,7 @@
         self.history = self.history[-1:]
 
     def copy(self):
-        return dict(self.items), self.revision, list(self.history)
+        return dict(self.items), self.revision, list(self.history), len(self.written)
 
     def stop(self):
         self.is_down = True
@@ -86,10 +88,12 @@
             writer.transport.abort()
 
     def restore(self, copy):
-        """Returns from a copy: what was written since is gone, and its revisions are given out again."""
+        """Returns from a copy: what was written since is gone, and its revisions are given out again. Returns the newest
+        value of each key that was written since."""
         self.items, self.revision, self.history = dict(copy[0]), copy[1], list(copy[2])
         self.era += 1
         self.is_down = False
+        return dict(self.written[copy[3]:])
 
     def first_known(self):
         return self.history[0]["revision"] if self.history else self.revision + 1
