gateway: Keep refusals of relayed requests true

A relayed request that can be repeated and was lost at one host could be refused by the next one with 503, which says that it has not run. It is answered 502 then, as where attempts at upstreams end so. Found by reading the change. The header limit of hosts exceeds that of callers by 512 bytes, since a relayed request has one field more; no test shows that a header at the limit failed without it. isNotRunStatus() is shared by both places.

--- a/Source/papayabend/gateway/Exchange.cpp
+++ b/Source/papayabend/gateway/Exchange.cpp
@@ -29,9 +29,6 @@
     // Retry-After while the process starts, stops or refreshes its content.
     constexpr base::Duration unavailableRetryAfter { std::chrono::milliseconds(50) };
 
-    /** Returns whether \a status means to a client that its request has not run. */
-    bool isNotRunStatus(unsigned status) { return status == 429 || status == 503 || status == 408 || status == 421; }
-
 }
 
 void Exchange::begin(GatewayState& state, const std::shared_ptr<ClientRequest>& client)
--- a/Source/papayabend/gateway/GatewayContent.cpp
+++ b/Source/papayabend/gateway/GatewayContent.cpp
@@ -207,8 +207,12 @@
                     std::ranges::count_if(configuration.routes, [](const auto& it) { return it.idempotent; }))
                 .add("revision", revision));
         m_state.split.retain(configuration);
-        for (const auto& [address, listener] : m_listeners)
-            listener->setLimits(configuration.limits);
+        for (const auto& [address, listener] : m_listeners) {
+            auto limits = configuration.limits;
+            if (address == m_state.settings.listen.peers)
+                limits.headerBytes += RequestRelay::maxAddedBytes;
+            listener->setLimits(limits);
+        }
     }
     for (const auto& id : change.upstreams) {
         const auto* entry = m_state.content.upstreams().find(id);
--- a/Source/papayabend/gateway/HttpMessage.cpp
+++ b/Source/papayabend/gateway/HttpMessage.cpp
@@ -137,4 +137,6 @@
 
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
+bool isNotRunStatus(unsigned status) { return status == 429 || status == 503 || status == 408 || status == 421; }
+
 }
--- a/Source/papayabend/gateway/HttpMessage.h
+++ b/Source/papayabend/gateway/HttpMessage.h
@@ -66,6 +66,9 @@
 /** Returns whether \a status is one of 200 to 299. */
 bool isSuccess(unsigned status);
 
+/** Returns whether \a status means to a client that its request has not run. */
+bool isNotRunStatus(unsigned status);
+
 std::string_view toView(boost::beast::string_view text);
 boost::beast::string_view toBeast(std::string_view text);
 
--- a/Source/papayabend/gateway/RequestRelay.cpp
+++ b/Source/papayabend/gateway/RequestRelay.cpp
@@ -168,6 +168,9 @@
         return;
     if (result.end == CallEnd::Answered) {
         m_relay.keep(m_target, m_connection);
+        // Another host may have run it before.
+        if (m_mayHaveRun && isNotRunStatus(result.answer.result_int()))
+            return finish(plainAnswer(502, "another host may have run the request: " + m_reason), "may_have_run");
         return finish(answerOf(result.answer, m_client->message.method() == http::verb::head), "relayed");
     }
     m_reason = m_target + ": " + result.reason;
--- a/Source/papayabend/gateway/RequestRelay.h
+++ b/Source/papayabend/gateway/RequestRelay.h
@@ -25,6 +25,9 @@
     /** Header field with the name of the host that relays a request; not forwarded to upstreams. */
     static constexpr std::string_view relayField = "Papayabend-Relayed-By";
 
+    /** Bytes by which the header of a relayed request may be longer than that of the caller. */
+    static constexpr uint32_t maxAddedBytes = 512;
+
     /** \a buffers: shared with connections of other kinds. */
     RequestRelay(GatewayState&, std::shared_ptr<BufferBudget> buffers);
 
