gateway: Judge the links to the upstreams only 5 s after a start

A host is not judged in its first 5 s now. RequestRelay passes; its test that nothing is relayed without any links lasts longer than these 5 s, so that it checks as much as before.

--- a/Source/papayabend/gateway/GatewayReach.cpp
+++ b/Source/papayabend/gateway/GatewayReach.cpp
@@ -11,12 +11,14 @@
     constexpr size_t probesPerTick = 6;
     // After a pause of the process, answers may wait that have not been read.
     constexpr base::Duration unreadAnswerTime { std::chrono::seconds(1) };
+    // After a start, upstreams may still hold the connections of the process before and turn new ones away.
+    constexpr base::Duration startTime { std::chrono::seconds(5) };
 
 }
 
 void GatewayHost::updateReach(base::TimePoint now)
 {
-    if (now - m_resumedAt < unreadAnswerTime || now - m_startedAt < unreadAnswerTime)
+    if (now - m_resumedAt < unreadAnswerTime || now - m_startedAt < startTime)
         return;
     std::vector<const discovery::UpstreamRecord*> listed;
     for (const auto& [id, entry] : m_state.content.upstreams().entries()) {
--- a/Tests/gateway/RequestRelayTest.cpp
+++ b/Tests/gateway/RequestRelayTest.cpp
@@ -153,7 +153,7 @@
 {
     start(true);
     start(true);
-    auto end = base::BootClock::now() + 4s;
+    auto end = base::BootClock::now() + 8s;
     while (base::BootClock::now() < end)
         CHECK_TRUE(request(1).starts_with("HTTP/1.1 503"));
     LONGS_EQUAL(0, upstream.requests.size());
